--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,18 @@
+// Bundles the program: one file starts faster and holds less memory than a tree of modules.
+import { build } from 'esbuild';
+
+const common = { bundle: true, platform: 'node', target: 'node20', format: 'esm', legalComments: 'none' };
+const banner = {
+  js: "import{createRequire as swiftfordRequire}from'node:module';const require=swiftfordRequire(import.meta.url);",
+};
+await build({
+  ...common,
+  banner,
+  minifySyntax: true,
+  minifyWhitespace: true,
+  entryPoints: ['src/cli/main.ts'],
+  outfile: 'target/main.js',
+  // Loaded only when an HCL file is given: the parser is several megabytes.
+  external: ['./hcl-parser.js'],
+});
+await build({ ...common, banner, entryPoints: ['src/cli/hcl-parser.ts'], outfile: 'target/hcl-parser.js' });
--- /dev/null
+++ b/src/core/controller.ts
@@ -0,0 +1,241 @@
+// The core of one controller: a state machine that takes inputs and returns what to send and answer.
+import { type Instant, later, type NodeId, type WallTime } from '../types/index.ts';
+import type { DispatchSettings } from './dispatch.ts';
+import { type Effect, type Input, Outbox, type Random } from './io.ts';
+import { retry } from './jobs.ts';
+import { HOLD_MS, Leadership } from './leadership.ts';
+import { Lookup } from './lookup.ts';
+import type { PeerMessage, Report, Settings, UserAnswer, UserRequest, WorkerAnswer } from './model.ts';
+import { Share } from './share.ts';
+
+interface Forwarded {
+  request: UserRequest;
+  answer: (a: UserAnswer) => void;
+  deadline: Instant;
+}
+interface Timed {
+  answer: (a: UserAnswer) => void;
+  deadline: Instant;
+}
+
+/** What a user is told in time, whatever happens behind: polls give up after 2 s, submissions after 5 s. */
+const STATUS_PATIENCE_MS = 1500;
+const WRITE_PATIENCE_MS = 3500;
+const FORWARD_MS = { status: 700, submit: 3000, cancel: 3000 };
+
+export class Controller {
+  private readonly io: Outbox;
+  private readonly settings: Settings;
+  readonly leadership: Leadership;
+  share: Share | null = null;
+  private readonly lookup: Lookup;
+  private readonly peersUp = new Set<NodeId>();
+  private readonly forwarded = new Map<number, Forwarded>();
+  private readonly timed = new Set<Timed>();
+  private nextAsk = 1;
+
+  constructor(settings: Settings, options: DispatchSettings, random: Random) {
+    this.settings = settings;
+    this.io = new Outbox(random);
+    this.lookup = new Lookup(this.io, settings);
+    const rank = settings.peers.filter((p) => p.node < settings.node).length;
+    this.leadership = new Leadership(this.io, settings.node, rank, {
+      onOwned: (term) => {
+        this.share = new Share(this.io, settings, options, term, () =>
+          this.leadership.lose('a write found another owner'),
+        );
+        this.announce();
+      },
+      onLost: () => {
+        this.share = null;
+        this.announce();
+      },
+      onOwnerKnown: () => {},
+    });
+  }
+
+  step(now: Instant, wall: WallTime, input: Input): Effect[] {
+    this.io.begin(now, wall);
+    this.take(input);
+    return this.io.drain();
+  }
+
+  /** Whether this node can serve users: it is the owner, or knows one it can reach. */
+  get ready(): boolean {
+    const owner = this.leadership.owner;
+    if (owner === null) return false;
+    return owner.node === this.settings.node
+      ? (this.share?.recovery.loaded ?? false)
+      : this.peersUp.has(owner.node);
+  }
+
+  private take(input: Input): void {
+    switch (input.kind) {
+      case 'tick':
+        return this.tick();
+      case 'user':
+        return this.user(input.request, (answer) =>
+          this.io.emit({ kind: 'answer-user', req: input.req, answer }),
+        );
+      case 'report':
+        return this.io.emit({ kind: 'answer-worker', req: input.req, answer: this.report(input.report) });
+      case 'state':
+      case 'cloud':
+      case 'worker':
+        return this.io.resolve(input.tag, input.reply);
+      case 'peer':
+        return this.peer(input.node, input.message);
+      case 'peer-up':
+        this.peersUp.add(input.node);
+        return this.greet(input.node);
+      case 'peer-down':
+        this.peersUp.delete(input.node);
+        return this.dropForwarded(input.node);
+    }
+  }
+
+  private tick(): void {
+    this.leadership.tick();
+    this.share?.tick(this.mayCommand());
+    this.lookup.tick();
+    this.expire();
+  }
+
+  // ---- what this node may do (docs/safety.md)
+
+  /**
+   * Until when machines may be commanded and their leases renewed under this term. Tokens keep a later
+   * owner's machines from this node's commands; this bound lets a later owner, and a user who cancelled
+   * with it, rely on everything here being gone in time.
+   */
+  private mayCommand(): boolean {
+    const l = this.leadership;
+    if (l.term === null) return false;
+    if (l.current) return true;
+    const { cancelS, leaseS } = this.settings.workers;
+    return this.io.now < l.confirmedAt + HOLD_MS + cancelS * 1000 - leaseS * 1001 - 1500;
+  }
+
+  // ---- workers
+
+  private report(r: Report): WorkerAnswer {
+    const { share, leadership: l } = this;
+    if (share !== null && r.token > share.machines.token) {
+      l.superseded();
+      return { kind: 'elsewhere', node: null };
+    }
+    if (share !== null && this.mayCommand()) return share.report(r);
+    const owner = l.owner?.node ?? null;
+    return { kind: 'elsewhere', node: owner === this.settings.node ? null : owner };
+  }
+
+  // ---- users
+
+  private user(request: UserRequest, answer: (a: UserAnswer) => void): void {
+    const patience = request.op === 'status' ? STATUS_PATIENCE_MS : WRITE_PATIENCE_MS;
+    const once = this.inTime(answer, patience);
+    const id = request.op === 'submit' ? request.spec.id : request.id;
+    const known = this.lookup.known(id);
+    if (known !== null && known.kind === 'ended')
+      return once(request.op === 'submit' ? { ...known, kind: 'known' } : known);
+    if (this.share !== null && this.leadership.current) return this.serve(this.share, request, once);
+    this.forward(request, once);
+  }
+
+  /** Answers once, and at the latest after the given time, telling the user when to come back. */
+  private inTime(answer: (a: UserAnswer) => void, ms: number): (a: UserAnswer) => void {
+    const t: Timed = { answer, deadline: later(this.io.now, ms) };
+    this.timed.add(t);
+    return (a) => {
+      if (!this.timed.delete(t)) return;
+      this.lookup.remember(a);
+      answer(a);
+    };
+  }
+
+  private expire(): void {
+    for (const t of this.timed)
+      if (this.io.now >= t.deadline) {
+        this.timed.delete(t);
+        t.answer(retry('no answer in time from within the service'));
+      }
+    for (const [id, f] of this.forwarded)
+      if (this.io.now >= f.deadline) {
+        this.forwarded.delete(id);
+        this.withoutOwner(f.request, f.answer);
+      }
+  }
+
+  private serve(share: Share, request: UserRequest, answer: (a: UserAnswer) => void): void {
+    if (request.op === 'submit') return share.submit(request.spec, answer);
+    if (!share.recovery.loaded) return this.withoutOwner(request, answer);
+    const known = share.status(request.id);
+    if (request.op === 'status') return known === null ? this.lookup.ask(request.id, answer) : answer(known);
+    const job = share.jobs.open.get(request.id);
+    if (job !== undefined) share.jobs.cancel(job, answer);
+    else if (known !== null) answer(known);
+    else
+      this.lookup.ask(request.id, (a) =>
+        answer(a.kind === 'status' ? retry('the job is being accepted') : a),
+      );
+  }
+
+  private forward(request: UserRequest, answer: (a: UserAnswer) => void): void {
+    const owner = this.leadership.owner;
+    if (owner === null || owner.node === this.settings.node || !this.peersUp.has(owner.node))
+      return this.withoutOwner(request, answer);
+    const id = this.nextAsk++;
+    this.forwarded.set(id, { request, answer, deadline: later(this.io.now, FORWARD_MS[request.op]) });
+    this.io.emit({ kind: 'peer', node: owner.node, message: { kind: 'ask', id, request } });
+  }
+
+  /** With no owner in reach, the record still tells a job's state; only the owner changes it. */
+  private withoutOwner(request: UserRequest, answer: (a: UserAnswer) => void): void {
+    if (request.op === 'status') this.lookup.ask(request.id, answer);
+    else answer(retry('no controller can take this at the moment'));
+  }
+
+  private dropForwarded(node: NodeId): void {
+    if (this.leadership.owner?.node !== node) return;
+    for (const [id, f] of this.forwarded) {
+      this.forwarded.delete(id);
+      this.withoutOwner(f.request, f.answer);
+    }
+  }
+
+  // ---- peers
+
+  private greet(node: NodeId): void {
+    const owner = this.leadership.term ?? 0;
+    this.io.emit({
+      kind: 'peer',
+      node,
+      message: { kind: 'hello', node: this.settings.node, owner: owner as never },
+    });
+  }
+
+  private announce(): void {
+    for (const node of this.peersUp) this.greet(node);
+  }
+
+  private peer(node: NodeId, m: PeerMessage): void {
+    if (m.kind === 'hello') this.leadership.heard(m.node, m.owner);
+    else if (m.kind === 'ask') this.asked(node, m.id, m.request);
+    else this.replied(m.id, m.answer);
+  }
+
+  private asked(node: NodeId, id: number, request: UserRequest): void {
+    const reply = (answer: UserAnswer | null) =>
+      this.io.emit({ kind: 'peer', node, message: { kind: 'reply', id, answer } });
+    if (this.share === null || !this.leadership.current) return reply(null);
+    this.serve(this.share, request, this.inTime(reply, FORWARD_MS[request.op] - 100));
+  }
+
+  private replied(id: number, answer: UserAnswer | null): void {
+    const f = this.forwarded.get(id);
+    if (f === undefined) return;
+    this.forwarded.delete(id);
+    if (answer === null) this.withoutOwner(f.request, f.answer);
+    else f.answer(answer);
+  }
+}
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,400 @@
+// Renting and returning machines: what waits is packed onto what is there or coming; what does not fit is rented.
+import {
+  type Instant,
+  LONG_AGO,
+  later,
+  type MachineId,
+  NEVER,
+  type Revision,
+  type TypeName,
+  type ZoneName,
+} from '../types/index.ts';
+import { mayRunOn } from './dispatch.ts';
+import { Budget, type Outbox } from './io.ts';
+import type { Job, Jobs } from './jobs.ts';
+import type { Machine, Machines } from './machines.ts';
+import type { CloudReply, ListedMachine, MachineType, Settings } from './model.ts';
+import type { Estimates } from './order.ts';
+import type { Quota } from './quota.ts';
+
+interface Request {
+  name: string;
+  type: MachineType;
+  zone: ZoneName;
+  spot: boolean;
+  count: number;
+  sentAt: Instant;
+  inFlight: boolean;
+  retryAt: Instant;
+}
+
+interface Free {
+  type: MachineType;
+  zone: ZoneName;
+  spot: boolean;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  images: Set<string> | null;
+}
+
+const PLAN_MS = 500;
+const LIST_MS = 5000;
+/** A refusal for want of machines holds for this long. */
+const REFUSED_MS = 15_000;
+const MIN_AGE_MS = 60_000;
+/** Part of the cloud's call budget used for renting and returning; the rest is for lists. */
+const CLOUD_SHARE = 0.7;
+
+export class Fleet {
+  types: Map<TypeName, MachineType> = new Map();
+  private readonly requests: Request[] = [];
+  private readonly refused = new Map<string, Instant>();
+  private nextPlan: Instant = LONG_AGO;
+  private nextList: Instant = LONG_AGO;
+  private listing = false;
+  private releasingNow = false;
+  private releaseAt: Instant = LONG_AGO;
+  private requestsMade = 0;
+  private readonly budget: Budget;
+  private readonly io: Outbox;
+  private readonly jobs: Jobs;
+  private readonly machines: Machines;
+  private readonly quota: Quota;
+  private readonly estimates: Estimates;
+  private readonly term: Revision;
+
+  constructor(
+    io: Outbox,
+    settings: Settings,
+    jobs: Jobs,
+    machines: Machines,
+    quota: Quota,
+    estimates: Estimates,
+    term: Revision,
+  ) {
+    this.io = io;
+    this.jobs = jobs;
+    this.machines = machines;
+    this.quota = quota;
+    this.estimates = estimates;
+    this.term = term;
+    const rate = settings.cloud.rps * CLOUD_SHARE;
+    this.budget = new Budget(rate, Math.max(1, rate));
+  }
+
+  tick(recovered: boolean): void {
+    if (this.types.size === 0) return;
+    this.list(recovered);
+    this.sendRequests();
+    if (this.io.now >= this.nextPlan && recovered) {
+      this.nextPlan = later(this.io.now, PLAN_MS);
+      this.rentForDemand();
+      this.returnIdle();
+    }
+    this.release();
+  }
+
+  // ---- renting
+
+  private rentForDemand(): void {
+    const free = this.supply();
+    const need = new Map<string, Request>();
+    for (const job of this.demand()) {
+      let n = Math.min(job.waiting + job.queued, this.teamRoom(job));
+      while (n > 0 && useFree(free, job)) n--;
+      if (n > 0) this.rentFor(job, n, free, need);
+    }
+    for (const r of need.values()) {
+      this.requests.push(r);
+      this.io.log('info', 'renting', {
+        request: r.name,
+        type: r.type.name,
+        zone: r.zone,
+        spot: r.spot,
+        count: r.count,
+      });
+    }
+    this.sendRequests();
+  }
+
+  private teamRoom(job: Job): number {
+    return this.quota.allows(job) + job.queued;
+  }
+
+  private demand(): Job[] {
+    const out = [...this.jobs.open.values()].filter(
+      (j) => !j.cancelled && j.waiting + j.queued > 0 && j.failedOn.size < 3,
+    );
+    return out.sort(
+      (a, b) => b.spec.priority - a.spec.priority || b.spec.gpus - a.spec.gpus || a.seenAt - b.seenAt,
+    );
+  }
+
+  /** Room on machines that are up, that is about to come free, or that is on its way. */
+  private supply(): Free[] {
+    const out: Free[] = [];
+    for (const m of this.machines.all.values()) {
+      if (m.releasing || m.drain !== null) continue;
+      const f: Free = {
+        type: m.type,
+        zone: m.zone,
+        spot: m.spot,
+        cpus: m.type.cpus - m.usedCpus,
+        gpus: m.type.gpus - m.usedGpus,
+        memory: m.type.memoryGb - m.usedMemory,
+        images: null,
+      };
+      for (const e of m.entries.values()) {
+        if (!this.endsSoon(e, m)) continue;
+        f.cpus += e.job.spec.cpus;
+        f.gpus += e.job.spec.gpus;
+        f.memory += e.job.spec.memoryGb;
+      }
+      out.push(f);
+    }
+    for (const r of this.requests) for (let i = 0; i < r.count; i++) out.push(whole(r.type, r.zone, r.spot));
+    return out;
+  }
+
+  /** Renting would not help sooner than the machine's own task ends. */
+  private endsSoon(e: { job: Job; runningAt: Instant | null }, m: Machine): boolean {
+    if (e.runningAt === null || e.job.spec.kind === 'service') return false;
+    const left = this.estimates.runS(e.job) - (this.io.now - e.runningAt) / 1000;
+    return left < m.type.bootS * 0.7;
+  }
+
+  private rentFor(job: Job, tasks: number, free: Free[], need: Map<string, Request>): void {
+    let left = tasks;
+    for (const o of this.offers(job)) {
+      const per = perMachine(o.type, job);
+      const count = Math.min(50, Math.ceil(left / per));
+      const key = offerKey(o.type.name, o.zone, o.spot);
+      let r = need.get(key);
+      if (r === undefined) {
+        r = {
+          name: `${this.term}-${++this.requestsMade}`,
+          type: o.type,
+          zone: o.zone,
+          spot: o.spot,
+          count: 0,
+          sentAt: this.io.now,
+          inFlight: false,
+          retryAt: LONG_AGO,
+        };
+        need.set(key, r);
+      }
+      const n = Math.min(count, 50 - r.count);
+      r.count += n;
+      for (let i = 0; i < n; i++) {
+        const f = whole(o.type, o.zone, o.spot);
+        free.push(f);
+        while (left > 0 && takeFrom(f, job)) left--;
+      }
+      if (left <= 0) return;
+    }
+  }
+
+  /** Where the job's tasks could run, cheapest a task first; what was refused lately is left out. */
+  private offers(job: Job): { type: MachineType; zone: ZoneName; spot: boolean; cost: number }[] {
+    const out: { type: MachineType; zone: ZoneName; spot: boolean; cost: number }[] = [];
+    for (const type of this.types.values()) {
+      const per = perMachine(type, job);
+      if (per < 1 || (job.spec.types !== null && !job.spec.types.includes(type.name))) continue;
+      for (const zone of type.zones) {
+        if (job.spec.zone !== null && job.spec.zone !== zone) continue;
+        for (const spot of job.spec.spot ? [true, false] : [false]) {
+          if (this.io.now < (this.refused.get(offerKey(type.name, zone, spot)) ?? LONG_AGO)) continue;
+          const price = spot ? type.spotPrice : type.price;
+          const gpuWaste = job.spec.gpus === 0 && type.gpus > 0 ? 1.5 : 1;
+          out.push({
+            type,
+            zone,
+            spot,
+            cost: (price / per) * gpuWaste * (1 + this.io.random.below(100) / 10_000),
+          });
+        }
+      }
+    }
+    return out.sort((a, b) => a.cost - b.cost);
+  }
+
+  private sendRequests(): void {
+    for (const r of this.requests) {
+      if (r.inFlight || this.io.now < r.retryAt || !this.budget.take(this.io.now)) continue;
+      r.inFlight = true;
+      const op = {
+        kind: 'rent' as const,
+        request: r.name,
+        type: r.type.name,
+        zone: r.zone,
+        spot: r.spot,
+        count: r.count,
+      };
+      this.io.cloud(op, (reply) => this.onRent(r, reply));
+    }
+  }
+
+  private onRent(r: Request, reply: CloudReply): void {
+    r.inFlight = false;
+    // An unanswered request may have rented: it is repeated under its own name until it is answered.
+    if (reply.kind !== 'rented' && reply.kind !== 'no-capacity') {
+      r.retryAt = later(this.io.now, 1000);
+      return;
+    }
+    this.requests.splice(this.requests.indexOf(r), 1);
+    const got = reply.kind === 'rented' ? reply.machines : [];
+    if (got.length < r.count) {
+      this.refused.set(offerKey(r.type.name, r.zone, r.spot), later(this.io.now, REFUSED_MS));
+      this.io.log('info', 'cloud has fewer machines', {
+        type: r.type.name,
+        zone: r.zone,
+        spot: r.spot,
+        asked: r.count,
+        got: got.length,
+      });
+    }
+    for (const id of got) {
+      if (this.machines.all.has(id) || this.machines.buried.has(id)) continue;
+      this.machines.record(this.machines.newMachine(id, r.type, r.zone, r.spot, NEVER));
+    }
+  }
+
+  // ---- returning
+
+  private returnIdle(): void {
+    for (const m of this.machines.all.values()) {
+      if (m.releasing) continue;
+      const why = this.reasonToReturn(m);
+      if (why === null) continue;
+      m.releasing = true;
+      this.machines.takeBackAll(m);
+      this.io.log('info', 'returning machine', { machine: m.id, type: m.type.name, spot: m.spot, why });
+    }
+  }
+
+  private reasonToReturn(m: Machine): string | null {
+    const { now } = this.io;
+    const age = now - m.requestedAt;
+    if (!m.up) return age > m.type.bootS * 4000 + 5000 ? 'never came up' : null;
+    // Results not yet recorded would be lost with the machine.
+    if (!m.empty || [...m.exited.values()].some((x) => x.why === 'done')) return null;
+    if (m.drain !== null) return m.drain;
+    if (!m.synced || age < MIN_AGE_MS) return null;
+    // Holding an idle machine for as long as a new one would take to get ready costs at most twice the best choice.
+    const patience = m.type.bootS * 1000 + 10_000;
+    return now - m.idleSince > patience ? 'idle' : null;
+  }
+
+  private release(): void {
+    if (this.releasingNow || this.io.now < this.releaseAt) return;
+    const batch = [...this.machines.all.values()].filter((m) => m.releasing).slice(0, 100);
+    if (batch.length === 0 || !this.budget.take(this.io.now)) return;
+    this.releasingNow = true;
+    this.io.cloud({ kind: 'release', machines: batch.map((m) => m.id) }, (r) => {
+      this.releasingNow = false;
+      if (r.kind !== 'released') {
+        this.releaseAt = later(this.io.now, 1000);
+        return;
+      }
+      for (const m of batch) this.machines.bury(m, 'returned');
+    });
+  }
+
+  // ---- the machine list
+
+  private list(recovered: boolean): void {
+    if (this.listing || this.io.now < this.nextList) return;
+    this.listing = true;
+    this.nextList = later(this.io.now, LIST_MS);
+    this.listPage(null, recovered);
+  }
+
+  private listPage(after: MachineId | null, recovered: boolean): void {
+    this.io.cloud({ kind: 'list', after }, (r) => {
+      if (r.kind !== 'listed') {
+        this.listing = false;
+        return;
+      }
+      for (const m of r.machines) this.onListed(m, recovered);
+      const last = r.machines.at(-1);
+      if (r.more && last !== undefined) this.listPage(last.id, recovered);
+      else this.listing = false;
+    });
+  }
+
+  private onListed(l: ListedMachine, recovered: boolean): void {
+    const m = this.machines.all.get(l.id);
+    if (m !== undefined) {
+      m.addr ??= l.addr;
+      if (l.status === 'failed') {
+        this.machines.clear(m);
+        m.drain ??= 'failed';
+        m.synced = true;
+        m.up = true;
+        m.releasing = true;
+      }
+      return;
+    }
+    // Unanswered requests may have rented it, or it is from an earlier term: it is used or returned.
+    if (!recovered || this.machines.buried.has(l.id) || this.requests.some((r) => r.inFlight)) return;
+    const type = this.types.get(l.type);
+    if (type === undefined) return;
+    this.io.log('info', 'machine adopted from the list', { machine: l.id, status: l.status });
+    const found = this.machines.newMachine(l.id, type, l.zone, l.spot, NEVER);
+    found.addr = l.addr;
+    if (l.status === 'failed') found.releasing = true;
+    else this.machines.record(found);
+  }
+}
+
+const offerKey = (type: TypeName, zone: ZoneName, spot: boolean): string =>
+  `${type}/${zone}/${spot ? 's' : 'o'}`;
+
+const whole = (type: MachineType, zone: ZoneName, spot: boolean): Free => ({
+  type,
+  zone,
+  spot,
+  cpus: type.cpus,
+  gpus: type.gpus,
+  memory: type.memoryGb,
+  images: null,
+});
+
+export function perMachine(type: MachineType, job: Job): number {
+  const { cpus, gpus, memoryGb } = job.spec;
+  const per = (total: number, each: number) =>
+    each <= 0 ? Number.POSITIVE_INFINITY : Math.floor((total + 1e-9) / each);
+  const n = Math.min(per(type.cpus, cpus), per(type.gpus, gpus), per(type.memoryGb, memoryGb));
+  return Number.isFinite(n) ? n : 1000;
+}
+
+function takeFrom(f: Free, job: Job): boolean {
+  const { cpus, gpus, memoryGb } = job.spec;
+  if (f.cpus + 1e-9 < cpus || f.gpus + 1e-9 < gpus || f.memory + 1e-9 < memoryGb) return false;
+  f.cpus -= cpus;
+  f.gpus -= gpus;
+  f.memory -= memoryGb;
+  return true;
+}
+
+function useFree(free: Free[], job: Job): boolean {
+  for (const f of free) {
+    if (f.spot && !job.spec.spot) continue;
+    if (job.spec.zone !== null && job.spec.zone !== f.zone) continue;
+    if (job.spec.types !== null && !job.spec.types.includes(f.type.name)) continue;
+    if (takeFrom(f, job)) return true;
+  }
+  return false;
+}
+
+export const canEverRun = (types: Iterable<MachineType>, job: Job): boolean => {
+  for (const t of types) if (perMachine(t, job) >= 1 && mayRunOnType(t, job)) return true;
+  return false;
+};
+
+const mayRunOnType = (t: MachineType, job: Job): boolean =>
+  (job.spec.types === null || job.spec.types.includes(t.name)) &&
+  (job.spec.zone === null || t.zones.includes(job.spec.zone));
+
+export { mayRunOn };
--- /dev/null
+++ b/src/core/io.ts
@@ -0,0 +1,122 @@
+// What the core receives and what it asks its surroundings to do.
+import type { Instant, NodeId, Token, WallTime } from '../types/index.ts';
+import type {
+  CloudOp,
+  CloudReply,
+  PeerMessage,
+  Report,
+  StateOp,
+  StateReply,
+  UserAnswer,
+  UserRequest,
+  WorkerAnswer,
+  WorkerReply,
+} from './model.ts';
+
+export type Input =
+  | { kind: 'user'; req: number; request: UserRequest }
+  | { kind: 'report'; req: number; report: Report }
+  | { kind: 'state'; tag: number; reply: StateReply }
+  | { kind: 'cloud'; tag: number; reply: CloudReply }
+  | { kind: 'worker'; tag: number; reply: WorkerReply }
+  | { kind: 'peer'; node: NodeId; message: PeerMessage }
+  | { kind: 'peer-up'; node: NodeId }
+  | { kind: 'peer-down'; node: NodeId }
+  | { kind: 'tick' };
+
+export type LogLevel = 'error' | 'info' | 'debug';
+export type Fields = Record<string, unknown>;
+
+export type Effect =
+  | { kind: 'answer-user'; req: number; answer: UserAnswer }
+  | { kind: 'answer-worker'; req: number; answer: WorkerAnswer }
+  | { kind: 'state'; tag: number; op: StateOp; timeoutMs: number }
+  | { kind: 'cloud'; tag: number; op: CloudOp; timeoutMs: number }
+  | { kind: 'probe'; tag: number; addr: string; token: Token; session: number; timeoutMs: number }
+  | { kind: 'peer'; node: NodeId; message: PeerMessage }
+  | { kind: 'log'; level: LogLevel; message: string; fields: Fields };
+
+export interface Random {
+  /** A whole number from 0 up to, not including, n. */
+  below(n: number): number;
+}
+
+/** A budget that refills evenly; bursts up to one second's worth. */
+export class Budget {
+  private level: number;
+  private at: Instant | null = null;
+  private readonly perS: number;
+  private readonly burst: number;
+  constructor(perS: number, burst: number) {
+    this.perS = perS;
+    this.burst = burst;
+    this.level = burst;
+  }
+
+  take(now: Instant, n = 1): boolean {
+    if (this.at !== null)
+      this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.perS);
+    this.at = now;
+    if (this.level < n) return false;
+    this.level -= n;
+    return true;
+  }
+}
+
+/** The core's side of every exchange: keeps the callback of each open request and collects effects. */
+export class Outbox {
+  now = 0 as Instant;
+  wall = 0 as WallTime;
+  private effects: Effect[] = [];
+  private nextTag = 1;
+  private readonly open = new Map<number, (reply: never) => void>();
+  readonly random: Random;
+
+  constructor(random: Random) {
+    this.random = random;
+  }
+
+  begin(now: Instant, wall: WallTime): void {
+    this.now = now;
+    this.wall = wall;
+  }
+
+  drain(): Effect[] {
+    const out = this.effects;
+    this.effects = [];
+    return out;
+  }
+
+  emit(effect: Effect): void {
+    this.effects.push(effect);
+  }
+
+  log(level: LogLevel, message: string, fields: Fields = {}): void {
+    this.emit({ kind: 'log', level, message, fields });
+  }
+
+  private tag(then: (reply: never) => void): number {
+    const tag = this.nextTag++;
+    this.open.set(tag, then);
+    return tag;
+  }
+
+  state(op: StateOp, then: (reply: StateReply) => void, timeoutMs = 1500): void {
+    this.emit({ kind: 'state', tag: this.tag(then), op, timeoutMs });
+  }
+
+  cloud(op: CloudOp, then: (reply: CloudReply) => void, timeoutMs = 4000): void {
+    this.emit({ kind: 'cloud', tag: this.tag(then), op, timeoutMs });
+  }
+
+  probe(addr: string, token: Token, session: number, then: (reply: WorkerReply) => void): void {
+    this.emit({ kind: 'probe', tag: this.tag(then), addr, token, session, timeoutMs: 2000 });
+  }
+
+  resolve(tag: number, reply: unknown): void {
+    const then = this.open.get(tag);
+    if (then === undefined) return;
+    this.open.delete(tag);
+    then(reply as never);
+  }
+}
--- /dev/null
+++ b/src/core/jobs.ts
@@ -0,0 +1,417 @@
+// Jobs of the share: acceptance, done bitmaps, cancels and final states. Everything a user is told
+// is committed first; the job's record changes by compare-and-set only, so done and cancelled exclude each other.
+import {
+  type Attempt,
+  type Instant,
+  type JobId,
+  LONG_AGO,
+  type MachineId,
+  type Revision,
+  type WallTime,
+} from '../types/index.ts';
+import type { Outbox } from './io.ts';
+import type { Condition, Item, JobSpec, JobStatus, Put, UserAnswer } from './model.ts';
+import type { Store, WriteResult } from './store.ts';
+
+export const OPEN = 'o/';
+export const FINAL = 'f/';
+export const BITS = 'd/';
+const CHUNK_TASKS = 32_768;
+const FLUSH_MS = 500;
+const FINALS_KEPT = 20_000;
+
+export enum Task {
+  Waiting = 0,
+  Queued = 1,
+  Active = 2,
+  Done = 3,
+  /** May be on a machine not yet heard under this term. */
+  Unlocated = 4,
+}
+
+/** A task on a machine, as far as is known or cannot be ruled out. */
+export interface Entry {
+  job: Job;
+  index: number;
+  attempt: Attempt;
+  machine: MachineId;
+  state: 'sent' | 'fetching' | 'waiting' | 'running' | 'saving';
+  /** The report that the start command answered; only a later one can tell that it was not executed. */
+  sentSeq: number;
+  sentAt: Instant;
+  runningAt: Instant | null;
+  stopping: { graceS: number } | null;
+}
+
+interface StoredJob {
+  s: JobSpec;
+  /** Wall time of acceptance. */
+  t: WallTime;
+  c?: 1;
+  w: string;
+}
+
+export class Job {
+  readonly state: Uint8Array;
+  readonly done: Uint8Array;
+  doneCount = 0;
+  running = 0;
+  cancelled = false;
+  /** A write to the job's record is under way. */
+  writing = false;
+  finishing = false;
+  /** Tasks that exist on machines or may: index to entry. */
+  readonly entries = new Map<number, Entry>();
+  /** Tasks that became free again, next to start. */
+  private readonly again: number[] = [];
+  private next = 0;
+  waiting = 0;
+  unlocated = 0;
+  queued = 0;
+  readonly chunkRevisions: Revision[] = [];
+  readonly dirty = new Set<number>();
+  dirtySince: Instant = LONG_AGO;
+  flushing = false;
+  /** Failures in a row without a success, and where. */
+  failures = 0;
+  readonly failedOn = new Set<MachineId>();
+  retryAt: Instant = LONG_AGO;
+  /** The attempt that the parts of a gang share, and whether it has begun to run. */
+  gangAttempt: Attempt | null = null;
+  gangRan = false;
+  afterEnd: (() => void)[] = [];
+
+  constructor(
+    readonly spec: JobSpec,
+    public revision: Revision,
+    readonly acceptedAt: WallTime,
+    readonly seenAt: Instant,
+    unlocated: boolean,
+  ) {
+    this.state = new Uint8Array(spec.tasks).fill(unlocated ? Task.Unlocated : Task.Waiting);
+    this.done = new Uint8Array(Math.ceil(spec.tasks / 8));
+    if (unlocated) {
+      this.unlocated = spec.tasks;
+      this.next = spec.tasks;
+    } else this.waiting = spec.tasks;
+  }
+
+  get id(): JobId {
+    return this.spec.id;
+  }
+  get live(): number {
+    return this.entries.size;
+  }
+  get left(): number {
+    return this.spec.tasks - this.doneCount;
+  }
+
+  /** Next task to place, without taking it; -1 if none. */
+  peek(): number {
+    while (this.again.length > 0) {
+      const i = this.again.at(-1)!;
+      if (this.state[i] === Task.Waiting) return i;
+      this.again.pop();
+    }
+    while (this.next < this.spec.tasks && this.state[this.next] !== Task.Waiting) this.next++;
+    return this.next < this.spec.tasks ? this.next : -1;
+  }
+
+  move(index: number, to: Task): void {
+    const from = this.state[index] as Task;
+    if (from === to) return;
+    this.count(from, -1);
+    this.count(to, 1);
+    this.state[index] = to;
+    if (to === Task.Waiting) this.again.push(index);
+  }
+
+  private count(s: Task, by: number): void {
+    if (s === Task.Waiting) this.waiting += by;
+    else if (s === Task.Unlocated) this.unlocated += by;
+    else if (s === Task.Queued) this.queued += by;
+    else if (s === Task.Done) this.doneCount += by;
+  }
+
+  isDone(index: number): boolean {
+    return ((this.done[index >> 3] ?? 0) & (1 << (index & 7))) !== 0;
+  }
+
+  setDone(index: number): boolean {
+    if (this.isDone(index)) return false;
+    this.done[index >> 3] = (this.done[index >> 3] ?? 0) | (1 << (index & 7));
+    this.move(index, Task.Done);
+    return true;
+  }
+
+  loadBits(chunk: number, base64: string, revision: Revision): void {
+    this.chunkRevisions[chunk] = revision;
+    const bytes = Buffer.from(base64, 'base64');
+    for (let i = 0; i < bytes.length * 8; i++) {
+      const index = chunk * CHUNK_TASKS + i;
+      if (index < this.spec.tasks && (bytes[i >> 3]! & (1 << (i & 7))) !== 0) this.setDone(index);
+    }
+  }
+
+  chunkBits(chunk: number): string {
+    const from = (chunk * CHUNK_TASKS) / 8;
+    return Buffer.from(this.done.buffer, from, Math.min(CHUNK_TASKS / 8, this.done.length - from)).toString(
+      'base64',
+    );
+  }
+
+  status(): JobStatus {
+    if (this.cancelled) return 'cancelled';
+    return this.running > 0 ? 'running' : 'queued';
+  }
+}
+
+interface Final {
+  status: 'done' | 'cancelled';
+}
+
+export class Jobs {
+  readonly open = new Map<JobId, Job>();
+  private readonly finals = new Map<JobId, Final>();
+  private readonly accepting = new Map<JobId, ((a: UserAnswer) => void)[]>();
+  /** Task results recorded for good, which their machines may now forget. */
+  private readonly durable = new Map<JobId, Set<number>>();
+  private readonly io: Outbox;
+  private readonly store: Store;
+  onAccepted: (job: Job) => void = () => {};
+  /** A job ended: take its tasks out of queues. */
+  onEnded: (job: Job) => void = () => {};
+
+  constructor(io: Outbox, store: Store) {
+    this.io = io;
+    this.store = store;
+  }
+
+  load(item: Item): void {
+    const v = item.value as StoredJob;
+    const job = new Job(v.s, item.revision, v.t, this.io.now, true);
+    job.cancelled = v.c === 1;
+    this.open.set(v.s.id, job);
+  }
+
+  loadBits(item: Item): void {
+    const [, id, chunk] = item.key.split('/');
+    const job = this.open.get(id as JobId);
+    if (job === undefined) return;
+    job.loadBits(Number(chunk), (item.value as { b: string }).b, item.revision);
+  }
+
+  final(id: JobId): Final | null {
+    return this.finals.get(id) ?? null;
+  }
+
+  rememberFinal(id: JobId, status: 'done' | 'cancelled'): void {
+    this.finals.set(id, { status });
+    if (this.finals.size <= FINALS_KEPT) return;
+    for (const oldest of this.finals.keys()) {
+      this.finals.delete(oldest);
+      break;
+    }
+  }
+
+  accept(spec: JobSpec, answer: (a: UserAnswer) => void): void {
+    const waiters = this.accepting.get(spec.id);
+    if (waiters !== undefined) {
+      waiters.push(answer);
+      return;
+    }
+    this.accepting.set(spec.id, [answer]);
+    const nonce = this.store.nonce();
+    const acceptedAt = this.io.wall;
+    const value: StoredJob = { s: spec, t: acceptedAt, w: nonce };
+    this.store.write({
+      conditions: [
+        { key: OPEN + spec.id, revision: 0 as Revision },
+        { key: FINAL + spec.id, revision: 0 as Revision },
+      ],
+      puts: [{ key: OPEN + spec.id, value }],
+      drops: [],
+      check: OPEN + spec.id,
+      nonce,
+      urgent: false,
+      done: (r) => this.onAccept(spec, acceptedAt, r),
+    });
+  }
+
+  private onAccept(spec: JobSpec, acceptedAt: WallTime, r: WriteResult): void {
+    const waiters = this.accepting.get(spec.id) ?? [];
+    this.accepting.delete(spec.id);
+    if (r.kind === 'ok') {
+      const job = new Job(spec, r.revision, acceptedAt, this.io.now, false);
+      this.open.set(spec.id, job);
+      this.io.log('debug', 'job accepted', { job: spec.id, class: spec.class, tasks: spec.tasks });
+      this.onAccepted(job);
+      for (const w of waiters) w({ kind: 'accepted', id: spec.id });
+    } else if (r.kind === 'conflict') {
+      // The job is known from before: its final state is on record.
+      this.readFinal(spec.id, (a) => {
+        for (const w of waiters) w(a.kind === 'ended' ? { kind: 'known', id: spec.id, status: a.status } : a);
+      });
+    } else for (const w of waiters) w(retry('the job service is changing hands'));
+  }
+
+  readFinal(id: JobId, answer: (a: UserAnswer) => void): void {
+    this.io.state({ kind: 'get', key: FINAL + id }, (r) => {
+      if (r.kind === 'item') {
+        const status = (r.item.value as { s: 'done' | 'cancelled' }).s;
+        this.rememberFinal(id, status);
+        answer({ kind: 'ended', id, status });
+      } else if (r.kind === 'missing') answer({ kind: 'not-found' });
+      else answer(retry('the state service does not answer'));
+    });
+  }
+
+  cancel(job: Job, answer: (a: UserAnswer) => void): void {
+    if (job.cancelled) return answer({ kind: 'ended', id: job.id, status: 'cancelled' });
+    if (job.writing) {
+      // Whichever write is first decides; the other is told its outcome.
+      job.afterEnd.push(() => this.cancelAgain(job, answer));
+      return;
+    }
+    job.writing = true;
+    const nonce = this.store.nonce();
+    const value: StoredJob = { s: job.spec, t: job.acceptedAt, c: 1, w: nonce };
+    this.store.write({
+      conditions: [{ key: OPEN + job.id, revision: job.revision }],
+      puts: [{ key: OPEN + job.id, value }],
+      drops: [],
+      check: OPEN + job.id,
+      nonce,
+      urgent: true,
+      done: (r) => {
+        job.writing = false;
+        if (r.kind !== 'ok') return answer(retry('the job is changing'));
+        job.revision = r.revision;
+        job.cancelled = true;
+        this.io.log('info', 'job cancelled', { job: job.id });
+        this.onEnded(job);
+        answer({ kind: 'ended', id: job.id, status: 'cancelled' });
+        this.runAfter(job);
+      },
+    });
+  }
+
+  private cancelAgain(job: Job, answer: (a: UserAnswer) => void): void {
+    const final = this.finals.get(job.id);
+    if (final !== undefined) answer({ kind: 'ended', id: job.id, status: final.status });
+    else this.cancel(job, answer);
+  }
+
+  private runAfter(job: Job): void {
+    for (const f of job.afterEnd.splice(0)) f();
+  }
+
+  /** A machine reported the task's result. */
+  taskDone(job: Job, index: number): void {
+    if (job.spec.kind === 'service' || !job.setDone(index)) return;
+    if (job.dirty.size === 0) job.dirtySince = this.io.now;
+    job.dirty.add(Math.floor(index / CHUNK_TASKS));
+    if (job.left === 0) this.finish(job);
+  }
+
+  /** Whether the machine may forget this task's result. */
+  recorded(job: Job | undefined, index: number): boolean {
+    if (job === undefined || job.cancelled || job.spec.kind === 'service') return true;
+    return this.durable.get(job.id)?.has(index) ?? false;
+  }
+
+  tick(): void {
+    for (const job of this.open.values()) {
+      if (job.cancelled) {
+        if (job.live === 0 && job.unlocated === 0) this.finish(job);
+      } else if (job.left === 0) this.finish(job);
+      else if (job.dirty.size > 0 && !job.flushing && this.io.now - job.dirtySince >= FLUSH_MS)
+        this.flush(job);
+    }
+  }
+
+  /** Moves the job's record to its final place; the one write after which it is called done. */
+  private finish(job: Job): void {
+    if (job.writing || job.flushing || job.finishing) return;
+    job.writing = true;
+    job.finishing = true;
+    const status = job.cancelled ? 'cancelled' : 'done';
+    const nonce = this.store.nonce();
+    const conditions: Condition[] = [{ key: OPEN + job.id, revision: job.revision }];
+    const drops = [OPEN + job.id];
+    job.chunkRevisions.forEach((revision, chunk) => {
+      if (revision > 0) drops.push(`${BITS}${job.id}/${chunk}`);
+    });
+    const puts: Put[] = [{ key: FINAL + job.id, value: { s: status, w: nonce } }];
+    this.store.write({
+      conditions,
+      puts,
+      drops,
+      check: FINAL + job.id,
+      nonce,
+      urgent: true,
+      done: (r) => {
+        job.writing = false;
+        job.finishing = false;
+        if (r.kind === 'ok') this.close(job, status);
+        else this.io.log('info', 'final state not written', { job: job.id, result: r.kind });
+      },
+    });
+  }
+
+  private close(job: Job, status: 'done' | 'cancelled'): void {
+    this.open.delete(job.id);
+    this.durable.delete(job.id);
+    this.rememberFinal(job.id, status);
+    this.io.log('debug', 'job over', { job: job.id, status });
+    this.onEnded(job);
+    this.runAfter(job);
+  }
+
+  private flush(job: Job): void {
+    const chunk = job.dirty.values().next().value as number;
+    job.dirty.delete(chunk);
+    job.flushing = true;
+    const key = `${BITS}${job.id}/${chunk}`;
+    const nonce = this.store.nonce();
+    const indexes = doneInChunk(job, chunk);
+    this.store.write({
+      // The owner's term guards against other writers; this guards against a late copy of an older bitmap.
+      conditions: [{ key, revision: job.chunkRevisions[chunk] ?? (0 as Revision) }],
+      puts: [{ key, value: { b: job.chunkBits(chunk), w: nonce } }],
+      drops: [],
+      check: key,
+      nonce,
+      urgent: false,
+      done: (r) => this.onFlushed(job, chunk, indexes, r),
+    });
+  }
+
+  private onFlushed(job: Job, chunk: number, indexes: number[], r: WriteResult): void {
+    job.flushing = false;
+    if (r.kind === 'ok') {
+      job.chunkRevisions[chunk] = r.revision;
+      const recorded = this.durable.get(job.id) ?? new Set<number>();
+      for (const i of indexes) recorded.add(i);
+      this.durable.set(job.id, recorded);
+    } else if (r.kind === 'conflict') {
+      if (r.item !== null) job.loadBits(chunk, (r.item.value as { b: string }).b, r.item.revision);
+      job.dirty.add(chunk);
+    }
+    if (job.left === 0 || (job.cancelled && job.live === 0)) this.tick();
+  }
+}
+
+function doneInChunk(job: Job, chunk: number): number[] {
+  const out: number[] = [];
+  const end = Math.min(job.spec.tasks, (chunk + 1) * CHUNK_TASKS);
+  for (let i = chunk * CHUNK_TASKS; i < end; i++) if (job.isDone(i)) out.push(i);
+  return out;
+}
+
+export const retry = (reason: string, afterS = 1, overload = false): UserAnswer => ({
+  kind: 'retry',
+  afterS,
+  reason,
+  overload,
+});
--- /dev/null
+++ b/src/core/leadership.ts
@@ -0,0 +1,225 @@
+// Who owns the share: a key attached to a hold in the state service. The revision of the commit that
+// created the key is the owner's term, its token for machines, and the condition of all it writes.
+import { type HoldId, type Instant, LONG_AGO, later, type NodeId, type Revision } from '../types/index.ts';
+import type { Outbox } from './io.ts';
+import type { Item, StateReply } from './model.ts';
+
+export const OWNER_KEY = 'share/0';
+export const HOLD_MS = 4000;
+const EXTEND_EVERY_MS = 1000;
+const RETRY_MS = 300;
+const WATCH_MS = 10_000;
+/** Steady clocks drift apart by at most 0.05%; twice that, and a little for the sender. */
+const DRIFT = 0.001;
+
+export interface OwnerRecord {
+  node: NodeId;
+  revision: Revision;
+}
+
+export interface LeadershipHost {
+  onOwned(term: Revision): void;
+  onLost(why: string): void;
+  onOwnerKnown(): void;
+}
+
+export class Leadership {
+  term: Revision | null = null;
+  owner: OwnerRecord | null = null;
+  /** Until when, on this node's steady clock, nobody else can have taken the share. */
+  holdEnds: Instant = LONG_AGO;
+  /** When the last request that the state service is known to have served was sent. */
+  confirmedAt: Instant = LONG_AGO;
+  private hold: HoldId | null = null;
+  private busy = false;
+  private extending = false;
+  private nextExtend: Instant = LONG_AGO;
+  private nextTry: Instant = LONG_AGO;
+  private watching = false;
+  private watchFrom: Revision | null = null;
+  private unownedSince: Instant | null = null;
+  private readonly io: Outbox;
+  private readonly me: NodeId;
+  private readonly rank: number;
+  private readonly host: LeadershipHost;
+
+  constructor(io: Outbox, me: NodeId, rank: number, host: LeadershipHost) {
+    this.io = io;
+    this.me = me;
+    this.rank = rank;
+    this.host = host;
+  }
+
+  /** True while no other controller can own the share: what this node answers is not stale. */
+  get current(): boolean {
+    return this.term !== null && this.io.now < this.holdEnds;
+  }
+
+  tick(): void {
+    if (!this.watching) this.watch();
+    if (this.term !== null) this.extend();
+    else this.consider();
+  }
+
+  /** A peer says it owns the share under a revision; the larger revision is the later owner. */
+  heard(node: NodeId, revision: Revision): void {
+    if (revision === 0) return;
+    if (this.owner !== null && revision <= this.owner.revision) return;
+    this.owner = { node, revision };
+    this.unownedSince = null;
+    if (this.term !== null && revision > this.term && node !== this.me)
+      this.lose('another controller took over');
+    this.host.onOwnerKnown();
+  }
+
+  /** A machine has seen a token above this node's: somebody took over. */
+  superseded(): void {
+    this.lose('a machine has seen a higher token');
+    this.owner = null;
+    this.unownedSince = null;
+    this.watchFrom = null;
+  }
+
+  private watch(): void {
+    if (this.io.now < this.nextTry) return;
+    this.watching = true;
+    if (this.watchFrom === null)
+      this.io.state({ kind: 'list', prefix: 'share/', after: null }, (r) => this.onList(r));
+    else
+      this.io.state(
+        { kind: 'watch', prefix: 'share/', after: this.watchFrom, waitMs: WATCH_MS },
+        (r) => this.onChanges(r),
+        WATCH_MS + 3000,
+      );
+  }
+
+  private onList(r: StateReply): void {
+    this.watching = false;
+    if (r.kind !== 'items') {
+      this.nextTry = later(this.io.now, RETRY_MS + this.io.random.below(RETRY_MS));
+      return;
+    }
+    this.watchFrom = r.revision;
+    const found = r.items.find((i) => i.key === OWNER_KEY);
+    if (found !== undefined) this.see(found);
+    else this.vanish();
+    this.watch();
+  }
+
+  private onChanges(r: StateReply): void {
+    this.watching = false;
+    if (r.kind !== 'changes') {
+      if (r.kind === 'too-old') this.watchFrom = null;
+      this.nextTry = later(this.io.now, RETRY_MS + this.io.random.below(RETRY_MS));
+      // A watch that broke may have missed the share's end.
+      if (r.kind !== 'refused') this.watchFrom = null;
+      return;
+    }
+    this.watchFrom = r.revision;
+    const put = r.puts.filter((i) => i.key === OWNER_KEY).at(-1);
+    const dropped = r.drops.includes(OWNER_KEY);
+    if (put !== undefined) this.see(put);
+    if (dropped && put === undefined) this.vanish();
+    // Which of the two came last is not told: read again.
+    if (dropped && put !== undefined) this.watchFrom = null;
+    this.watch();
+  }
+
+  private see(item: Item): void {
+    const node = (item.value as { node?: NodeId }).node;
+    if (node === undefined) return;
+    this.unownedSince = null;
+    if (node === this.me && item.revision === this.term) return;
+    if (node !== this.me) this.heard(node, item.revision);
+    // A key of this node's under another revision is an earlier process of it: its hold runs out by itself.
+  }
+
+  private vanish(): void {
+    if (this.term === null) this.owner = null;
+    this.unownedSince ??= this.io.now;
+  }
+
+  /** Takes an unowned share; the later in the list of nodes, the longer it lets others go first. */
+  private consider(): void {
+    const { io } = this;
+    if (this.unownedSince === null || this.busy || io.now < this.nextTry) return;
+    if (io.now - this.unownedSince < this.rank * 200) return;
+    this.busy = true;
+    const sentAt = io.now;
+    io.state({ kind: 'grant', ttlMs: HOLD_MS }, (r) => {
+      if (r.kind !== 'granted') return this.backOff();
+      this.take(r.hold, sentAt);
+    });
+  }
+
+  private backOff(): void {
+    this.busy = false;
+    this.nextTry = later(this.io.now, RETRY_MS + this.io.random.below(500));
+  }
+
+  private take(hold: HoldId, sentAt: Instant): void {
+    const { io } = this;
+    const conditions = [{ key: OWNER_KEY, revision: 0 as Revision }];
+    const puts = [{ key: OWNER_KEY, value: { node: this.me }, hold }];
+    io.state({ kind: 'commit', conditions, puts, drops: [] }, (r) => {
+      if (r.kind === 'committed') {
+        this.own(r.revision, hold, sentAt);
+        return;
+      }
+      // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
+      if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, () => {});
+      this.unownedSince = null;
+      this.watchFrom = null;
+      this.backOff();
+    });
+  }
+
+  private own(term: Revision, hold: HoldId, sentAt: Instant): void {
+    this.busy = false;
+    this.term = term;
+    this.hold = hold;
+    this.owner = { node: this.me, revision: term };
+    this.unownedSince = null;
+    this.confirm(sentAt);
+    this.nextExtend = LONG_AGO;
+    this.io.log('info', 'term taken', { term });
+    this.host.onOwned(term);
+  }
+
+  private confirm(sentAt: Instant): void {
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt) as Instant;
+    this.holdEnds = later(this.confirmedAt, HOLD_MS * (1 - DRIFT));
+  }
+
+  private extend(): void {
+    const { io } = this;
+    if (this.extending || io.now < this.nextExtend || this.hold === null) return;
+    this.extending = true;
+    const sentAt = io.now;
+    const term = this.term;
+    io.state(
+      { kind: 'extend', hold: this.hold },
+      (r) => {
+        this.extending = false;
+        if (this.term !== term) return;
+        if (r.kind === 'ok') {
+          this.confirm(sentAt);
+          this.nextExtend = later(sentAt, EXTEND_EVERY_MS);
+        } else if (r.kind === 'missing') this.lose('the hold has ended');
+        else this.nextExtend = later(io.now, RETRY_MS);
+      },
+      1000,
+    );
+  }
+
+  lose(why: string): void {
+    if (this.term === null) return;
+    this.io.log('info', 'term lost', { term: this.term, why });
+    this.term = null;
+    this.hold = null;
+    this.holdEnds = LONG_AGO;
+    if (this.owner?.node === this.me) this.owner = null;
+    this.watchFrom = null;
+    this.host.onLost(why);
+  }
+}
--- /dev/null
+++ b/src/core/model.ts
@@ -0,0 +1,213 @@
+// The words of the field, shared by the core's modules and the protocol codecs.
+import type {
+  Attempt,
+  HoldId,
+  JobId,
+  MachineId,
+  NodeId,
+  Revision,
+  TaskId,
+  TeamName,
+  Token,
+  TypeName,
+  WallTime,
+  ZoneName,
+} from '../types/index.ts';
+
+export type JobKind = 'array' | 'gang' | 'service';
+/** 3 is the most urgent. */
+export type Priority = 0 | 1 | 2 | 3;
+
+export interface JobSpec {
+  id: JobId;
+  class: string;
+  team: TeamName;
+  kind: JobKind;
+  priority: Priority;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  image: string;
+  imageGb: number;
+  types: TypeName[] | null;
+  zone: ZoneName | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+export interface MachineType {
+  name: TypeName;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: ZoneName[];
+}
+
+export interface Team {
+  name: TeamName;
+  /** 0 means none. */
+  cpus: number;
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Objective {
+  kind: string;
+  class: string | null;
+  withinS: number | null;
+  share: number | null;
+  times: number | null;
+}
+
+export interface Settings {
+  node: NodeId;
+  zone: ZoneName;
+  listen: string;
+  peerListen: string;
+  peers: { node: NodeId; zone: ZoneName; addr: string }[];
+  cloudAddr: string;
+  stateAddr: string;
+  zones: ZoneName[];
+  teams: Team[];
+  objectives: Objective[];
+  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloud: { rps: number; listLagS: number };
+  sockets: number;
+}
+
+export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+export type ExitReason = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  task: TaskId;
+  attempt: Attempt;
+  state: TaskState;
+  why: ExitReason | null;
+  saved: boolean;
+}
+
+export interface Report {
+  machine: MachineId;
+  addr: string;
+  type: TypeName;
+  zone: ZoneName;
+  spot: boolean;
+  session: number;
+  seq: number;
+  token: Token;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type Command =
+  | { op: 'start'; task: TaskId; attempt: Attempt }
+  | { op: 'stop'; task: TaskId; attempt: Attempt; graceS: number }
+  | { op: 'forget'; task: TaskId; attempt: Attempt };
+
+export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
+
+export type UserAnswer =
+  | { kind: 'accepted'; id: JobId }
+  | { kind: 'known'; id: JobId; status: JobStatus }
+  | { kind: 'status'; id: JobId; status: JobStatus; done: number; running: number }
+  | { kind: 'ended'; id: JobId; status: 'done' | 'cancelled' }
+  | { kind: 'impossible'; reason: string }
+  | { kind: 'not-found' }
+  | { kind: 'retry'; afterS: number; reason: string; overload: boolean };
+
+export type WorkerAnswer =
+  | { kind: 'orders'; token: Token; commands: Command[] }
+  | { kind: 'elsewhere'; node: NodeId | null };
+
+export type UserRequest =
+  | { op: 'submit'; spec: JobSpec }
+  | { op: 'status'; id: JobId }
+  | { op: 'cancel'; id: JobId };
+
+export interface ListedMachine {
+  id: MachineId;
+  addr: string;
+  type: TypeName;
+  zone: ZoneName;
+  spot: boolean;
+  status: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+export interface Condition {
+  key: string;
+  revision: Revision;
+}
+export interface Put {
+  key: string;
+  value: unknown;
+  hold?: HoldId;
+}
+export interface Item {
+  key: string;
+  value: unknown;
+  revision: Revision;
+}
+
+export type StateOp =
+  | { kind: 'commit'; conditions: Condition[]; puts: Put[]; drops: string[] }
+  | { kind: 'get'; key: string }
+  | { kind: 'list'; prefix: string; after: string | null }
+  | { kind: 'grant'; ttlMs: number }
+  | { kind: 'extend'; hold: HoldId }
+  | { kind: 'revoke'; hold: HoldId }
+  | { kind: 'watch'; prefix: string; after: Revision; waitMs: number };
+
+/** `refused`: not executed. `no-answer`: may have been, or may yet be, executed. */
+export type StateReply =
+  | { kind: 'committed'; revision: Revision }
+  | { kind: 'conflict'; failed: string[] }
+  | { kind: 'item'; item: Item }
+  | { kind: 'missing' }
+  | { kind: 'items'; items: Item[]; more: boolean; revision: Revision }
+  | { kind: 'granted'; hold: HoldId }
+  | { kind: 'ok' }
+  | { kind: 'changes'; revision: Revision; puts: Item[]; drops: string[] }
+  | { kind: 'too-old' }
+  | { kind: 'rejected'; reason: string }
+  | { kind: 'refused'; busy: boolean }
+  | { kind: 'no-answer' };
+
+export type CloudOp =
+  | { kind: 'types' }
+  | { kind: 'rent'; request: string; type: TypeName; zone: ZoneName; spot: boolean; count: number }
+  | { kind: 'release'; machines: MachineId[] }
+  | { kind: 'list'; after: MachineId | null };
+
+export type CloudReply =
+  | { kind: 'types'; types: MachineType[] }
+  | { kind: 'rented'; machines: MachineId[] }
+  | { kind: 'no-capacity' }
+  | { kind: 'released' }
+  | { kind: 'listed'; machines: ListedMachine[]; more: boolean }
+  | { kind: 'refused'; busy: boolean }
+  | { kind: 'no-answer' };
+
+export type WorkerReply = { kind: 'report'; report: Report; executed: boolean } | { kind: 'no-answer' };
+
+export type PeerMessage =
+  | { kind: 'hello'; node: NodeId; owner: Revision }
+  | { kind: 'ask'; id: number; request: UserRequest }
+  | { kind: 'reply'; id: number; answer: UserAnswer | null };
+
+export interface TimedInput {
+  wall: WallTime;
+}
--- /dev/null
+++ b/src/core/order.ts
@@ -0,0 +1,64 @@
+// In which order waiting jobs are served: priority, then the time left until a user's aim is missed.
+import type { Instant } from '../types/index.ts';
+import type { Job } from './jobs.ts';
+import type { Objective } from './model.ts';
+
+const DEFAULT_PATIENCE_S = 300;
+
+/** Learned ratio of real run times to owners' estimates, a class at a time. */
+export class Estimates {
+  private readonly ratio = new Map<string, number>();
+
+  learn(cls: string, estimateS: number, actualS: number): void {
+    if (estimateS <= 0) return;
+    const r = Math.min(5, Math.max(0.2, actualS / estimateS));
+    this.ratio.set(cls, (this.ratio.get(cls) ?? 1) * 0.9 + r * 0.1);
+  }
+
+  runS(job: Job): number {
+    return job.spec.estimateS * (this.ratio.get(job.spec.class) ?? 1);
+  }
+}
+
+export class Ordering {
+  private readonly byClass = new Map<string, Objective[]>();
+  private readonly estimates: Estimates;
+
+  constructor(objectives: Objective[], estimates: Estimates) {
+    this.estimates = estimates;
+    for (const o of objectives) {
+      if (o.class === null) continue;
+      const list = this.byClass.get(o.class) ?? [];
+      list.push(o);
+      this.byClass.set(o.class, list);
+    }
+  }
+
+  /** Seconds after submission by which the job's tasks should start, one for each aim, earliest first. */
+  startBy(job: Job): number[] {
+    const run = this.estimates.runS(job);
+    const out: number[] = [];
+    for (const o of this.byClass.get(job.spec.class) ?? []) {
+      if (o.kind === 'wait' && o.withinS !== null) out.push(o.withinS);
+      if (o.kind === 'finished' && o.withinS !== null) out.push(o.withinS - run);
+      if (o.kind === 'deadline' && job.spec.deadlineS !== null)
+        out.push(job.spec.deadlineS * (o.times ?? 1) - run);
+    }
+    if (out.length === 0)
+      out.push(job.spec.deadlineS === null ? DEFAULT_PATIENCE_S : job.spec.deadlineS - run);
+    return out.sort((a, b) => a - b);
+  }
+
+  /** Seconds until the next aim that can still be met; jobs beyond all their aims come last, oldest first. */
+  slackS(job: Job, now: Instant, wall: number): number {
+    const age = Math.max(0, (wall - job.acceptedAt) / 1000, (now - job.seenAt) / 1000);
+    for (const s of this.startBy(job)) if (s >= age) return s - age;
+    return 1e6 - age;
+  }
+
+  /** Shortest wait that any aim allows a class. */
+  shortestWaitS(cls: string): number | null {
+    const waits = (this.byClass.get(cls) ?? []).filter((o) => o.kind === 'wait' && o.withinS !== null);
+    return waits.length === 0 ? null : Math.min(...waits.map((o) => o.withinS as number));
+  }
+}
--- /dev/null
+++ b/src/core/recovery.ts
@@ -0,0 +1,187 @@
+// A new owner's first steps: read what is recorded, then learn from the machines what runs where.
+import {
+  type Instant,
+  LONG_AGO,
+  later,
+  type MachineId,
+  type TypeName,
+  type ZoneName,
+} from '../types/index.ts';
+import type { Fleet } from './fleet.ts';
+import type { Outbox } from './io.ts';
+import { BITS, type Job, type Jobs, OPEN, Task } from './jobs.ts';
+import { MACHINE, type Machine, type Machines } from './machines.ts';
+import type { CloudReply, Item, MachineType, Settings, StateReply } from './model.ts';
+
+const RETRY_MS = 250;
+const PROBE_MS = 2000;
+
+interface MachineRecord {
+  t: TypeName;
+  z: ZoneName;
+  s: 0 | 1;
+}
+
+export class Recovery {
+  /** Jobs and machines of the earlier terms are known. */
+  loaded = false;
+  /** Every recorded machine has been heard, or is certainly empty. */
+  complete = false;
+  onComplete: () => void = () => {};
+  private step: 'types' | 'jobs' | 'bits' | 'machines' = 'types';
+  private busy = false;
+  private retryAt: Instant = LONG_AGO;
+  private after: string | null = null;
+  private readonly takenAt: Instant;
+  private readonly probedAt = new Map<MachineId, Instant>();
+  private readonly io: Outbox;
+  private readonly settings: Settings;
+  private readonly jobs: Jobs;
+  private readonly machines: Machines;
+  private readonly fleet: Fleet;
+
+  constructor(io: Outbox, settings: Settings, jobs: Jobs, machines: Machines, fleet: Fleet) {
+    this.io = io;
+    this.settings = settings;
+    this.jobs = jobs;
+    this.machines = machines;
+    this.fleet = fleet;
+    this.takenAt = io.now;
+  }
+
+  tick(): void {
+    if (!this.loaded) this.load();
+    else if (!this.complete) this.locate();
+  }
+
+  private load(): void {
+    if (this.busy || this.io.now < this.retryAt) return;
+    this.busy = true;
+    if (this.step === 'types') this.io.cloud({ kind: 'types' }, (r) => this.onTypes(r), 2500);
+    else {
+      const prefix = { jobs: OPEN, bits: BITS, machines: MACHINE }[this.step];
+      this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r));
+    }
+  }
+
+  private again(): void {
+    this.busy = false;
+    this.retryAt = later(this.io.now, RETRY_MS);
+  }
+
+  private onTypes(r: CloudReply): void {
+    if (r.kind !== 'types') return this.again();
+    for (const t of r.types) this.fleet.types.set(t.name, t);
+    this.next('jobs');
+  }
+
+  private next(step: Recovery['step']): void {
+    this.step = step;
+    this.after = null;
+    this.busy = false;
+    this.load();
+  }
+
+  private onPage(r: StateReply): void {
+    if (r.kind !== 'items') return this.again();
+    for (const item of r.items) this.take(item);
+    if (r.more) {
+      this.after = r.items.at(-1)?.key ?? null;
+      this.busy = false;
+      this.load();
+    } else if (this.step === 'jobs') this.next('bits');
+    else if (this.step === 'bits') this.next('machines');
+    else this.finishLoading();
+  }
+
+  private take(item: Item): void {
+    if (this.step === 'jobs') this.jobs.load(item);
+    else if (this.step === 'bits') this.jobs.loadBits(item);
+    else this.takeMachine(item);
+  }
+
+  private takeMachine(item: Item): void {
+    const v = item.value as MachineRecord;
+    const id = item.key.slice(MACHINE.length) as MachineId;
+    // A type no longer offered still counts, as if it held everything, until the machine is settled.
+    const type = this.fleet.types.get(v.t) ?? vanishedType(v.t);
+    // Whoever owned the share before stops answering in time for the first (see docs/safety.md);
+    // this node may itself have answered the machine since.
+    const { cancelS, leaseS } = this.settings.workers;
+    const leaseEnds = Math.max(this.takenAt + cancelS * 1000, this.io.now + leaseS * 1001 + 500) as Instant;
+    const m = this.machines.newMachine(id, type, v.z, v.s === 1, leaseEnds);
+    m.recorded = item.revision;
+  }
+
+  private finishLoading(): void {
+    this.loaded = true;
+    this.busy = false;
+    this.io.log('info', 'state read', { jobs: this.jobs.open.size, machines: this.machines.all.size });
+  }
+
+  /** Machines not heard yet: asked with the new token, fenced by returning them if they stay silent. */
+  private locate(): void {
+    const silent = [...this.machines.all.values()].filter((m) => m.recorded !== null && !m.synced);
+    if (silent.length === 0) return this.finish();
+    const blocked = this.machinesBlockWork();
+    for (const m of silent) {
+      this.probe(m);
+      if (blocked && !m.releasing && this.io.now - this.takenAt > this.fenceAfterMs()) {
+        m.releasing = true;
+        this.io.log('info', 'silent machine is returned to settle what it runs', { machine: m.id });
+      }
+    }
+  }
+
+  private machinesBlockWork(): boolean {
+    for (const j of this.jobs.open.values()) if (j.unlocated > 0) return true;
+    return false;
+  }
+
+  private fenceAfterMs(): number {
+    return Math.max(3 * this.settings.workers.reportS * 1000, 8000) + 4000;
+  }
+
+  private probe(m: Machine): void {
+    const last = this.probedAt.get(m.id) ?? LONG_AGO;
+    if (m.addr === null || this.io.now - last < PROBE_MS) return;
+    this.probedAt.set(m.id, this.io.now);
+    this.io.probe(m.addr, this.machines.token, Math.max(1, m.session), (r) => {
+      // Once the machine is in use, only its own reports tell what is not on it: a start that answered
+      // one of them may still be under way when this reply is made.
+      if (r.kind !== 'report' || this.machines.all.get(m.id) !== m || m.synced) return;
+      const known = m.session;
+      this.machines.report(m, r.report);
+      // The session was another: ask again at once with the right one.
+      if (!r.executed && r.report.session !== known) this.probedAt.delete(m.id);
+    });
+  }
+
+  private finish(): void {
+    this.complete = true;
+    for (const job of this.jobs.open.values()) settle(job);
+    this.onComplete();
+    this.io.log('info', 'all machines heard', {
+      machines: this.machines.all.size,
+      jobs: this.jobs.open.size,
+    });
+  }
+}
+
+const vanishedType = (name: TypeName): MachineType => ({
+  name,
+  cpus: 1e6,
+  gpus: 1e6,
+  memoryGb: 1e6,
+  cacheGb: 0,
+  fetchGbPerS: 1,
+  price: 0,
+  spotPrice: 0,
+  bootS: 1,
+  zones: [],
+});
+
+/** With every machine heard, a task on none of them is on none at all. */
+function settle(job: Job): void {
+  for (let i = 0; i < job.spec.tasks; i++) if (job.state[i] === Task.Unlocated) job.move(i, Task.Waiting);
+}
--- /dev/null
+++ b/src/core/share.ts
@@ -0,0 +1,152 @@
+// What the owner of the share does during one term. A new term starts with a new one of these.
+import { NEVER, type Revision } from '../types/index.ts';
+import { Dispatch, type DispatchSettings } from './dispatch.ts';
+import { canEverRun, Fleet } from './fleet.ts';
+import type { Outbox } from './io.ts';
+import { type Entry, Job, Jobs, retry } from './jobs.ts';
+import { type Machine, Machines } from './machines.ts';
+import type { Command, JobSpec, Report, Settings, UserAnswer, WorkerAnswer } from './model.ts';
+import { Estimates, Ordering } from './order.ts';
+import { Quota } from './quota.ts';
+import { Recovery } from './recovery.ts';
+import { Store } from './store.ts';
+
+/** Accepting work stops while this many writes wait: users are told to come back instead. */
+const MAX_BACKLOG = 120;
+
+export class Share {
+  readonly jobs: Jobs;
+  readonly machines: Machines;
+  readonly fleet: Fleet;
+  readonly recovery: Recovery;
+  readonly store: Store;
+  private readonly dispatch: Dispatch;
+  private readonly quota: Quota;
+  private readonly estimates = new Estimates();
+  private readonly io: Outbox;
+
+  constructor(io: Outbox, settings: Settings, options: DispatchSettings, term: Revision, onLost: () => void) {
+    this.io = io;
+    this.store = new Store(io, settings, term, onLost);
+    this.jobs = new Jobs(io, this.store);
+    const host = {
+      poke: () => this.dispatch.poke(),
+      taskStarted: () => {},
+      taskCompleted: (e: Entry) => this.learn(e),
+    };
+    this.machines = new Machines(io, settings, this.store, this.jobs, host, term);
+    this.quota = new Quota(settings);
+    const ordering = new Ordering(settings.objectives, this.estimates);
+    this.dispatch = new Dispatch(io, this.jobs, this.machines, this.quota, ordering, options, term);
+    this.fleet = new Fleet(io, settings, this.jobs, this.machines, this.quota, this.estimates, term);
+    this.recovery = new Recovery(io, settings, this.jobs, this.machines, this.fleet);
+    this.jobs.onAccepted = () => this.dispatch.poke();
+    this.recovery.onComplete = () => this.dispatch.poke();
+    this.jobs.onEnded = (job) => this.unqueue(job);
+  }
+
+  tick(mayCommand: boolean): void {
+    this.recovery.tick();
+    this.store.tick();
+    if (!this.recovery.loaded) return;
+    this.jobs.tick();
+    this.machines.tick();
+    this.fleet.tick(this.recovery.complete && mayCommand);
+    this.dispatch.pass(true);
+  }
+
+  private learn(e: Entry): void {
+    if (e.runningAt === null) return;
+    this.estimates.learn(e.job.spec.class, e.job.spec.estimateS, (this.io.now - e.runningAt) / 1000);
+  }
+
+  private unqueue(job: Job): void {
+    for (const m of this.machines.all.values())
+      for (const q of [...m.queue]) if (q.job === job) this.machines.takeBack(m, q);
+    this.dispatch.poke();
+  }
+
+  // ---- workers
+
+  /** Answers a report under this node's token; the caller has checked that it may. */
+  report(r: Report): WorkerAnswer {
+    const { token } = this.machines;
+    // Raising the token is all that may be done before the records are read.
+    if (!this.recovery.loaded) return { kind: 'orders', token, commands: [] };
+    const m = this.machines.all.get(r.machine) ?? this.adopt(r);
+    if (m === null) return { kind: 'elsewhere', node: null };
+    this.machines.answered(m);
+    const commands: Command[] | null = this.machines.report(m, r);
+    if (commands === null) return { kind: 'orders', token, commands: [] };
+    this.dispatch.pass(false);
+    commands.push(...this.machines.startQueued(m, () => true));
+    return { kind: 'orders', token, commands };
+  }
+
+  /** A machine nobody expected: rented by an unanswered request, or by an earlier owner. */
+  private adopt(r: Report): Machine | null {
+    const type = this.fleet.types.get(r.type);
+    if (type === undefined || this.machines.buried.has(r.machine)) return null;
+    this.io.log('info', 'machine adopted from its report', { machine: r.machine });
+    const m = this.machines.newMachine(r.machine, type, r.zone, r.spot, NEVER);
+    this.machines.record(m);
+    return m;
+  }
+
+  // ---- users
+
+  submit(spec: JobSpec, answer: (a: UserAnswer) => void): void {
+    const job = this.jobs.open.get(spec.id);
+    if (job !== undefined) return answer({ kind: 'known', id: spec.id, status: job.status() });
+    const final = this.jobs.final(spec.id);
+    if (final !== null) return answer({ kind: 'known', id: spec.id, status: final.status });
+    if (!this.recovery.loaded) return answer(retry('the jobs on record are being read'));
+    if (this.store.downSince !== null) return answer(retry('the state service does not answer', 2));
+    if (this.store.backlog > MAX_BACKLOG) return answer(retry('too many submissions at once', 2, true));
+    const reason = this.impossible(spec);
+    if (reason !== null) return this.refuse(spec, reason, answer);
+    this.jobs.accept(spec, answer);
+  }
+
+  /** A job known from before is never called impossible, whatever is offered today. */
+  private refuse(spec: JobSpec, reason: string, answer: (a: UserAnswer) => void): void {
+    this.jobs.readFinal(spec.id, (a) => {
+      if (a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
+      else if (a.kind === 'not-found') {
+        this.io.log('info', 'job refused', { job: spec.id, reason });
+        answer({ kind: 'impossible', reason });
+      } else answer(a);
+    });
+  }
+
+  private impossible(spec: JobSpec): string | null {
+    const team = this.quota.team(spec.team);
+    if (team === undefined) return `team ${spec.team} is not known here`;
+    const job = new Job({ ...spec, tasks: 1 }, 0 as Revision, this.io.wall, this.io.now, false);
+    if (!canEverRun(this.fleet.types.values(), job))
+      return `no machine type that the job allows is large enough for ${spec.cpus} CPUs, ${spec.gpus} GPUs and ${spec.memoryGb} GB`;
+    const n = spec.kind === 'array' ? 1 : spec.tasks;
+    if (team.cpusMax > 0 && spec.cpus * n > team.cpusMax)
+      return `the job needs ${spec.cpus * n} CPUs at once and team ${spec.team} may use ${team.cpusMax}`;
+    if (team.gpusMax > 0 && spec.gpus * n > team.gpusMax)
+      return `the job needs ${spec.gpus * n} GPUs at once and team ${spec.team} may use ${team.gpusMax}`;
+    return null;
+  }
+
+  /** What is known without asking the state service; null if that must be asked. */
+  status(id: JobSpec['id']): UserAnswer | null {
+    const job = this.jobs.open.get(id);
+    if (job === undefined) {
+      const final = this.jobs.final(id);
+      return final === null ? null : { kind: 'ended', id, status: final.status };
+    }
+    if (job.cancelled) return { kind: 'ended', id, status: 'cancelled' };
+    return {
+      kind: 'status',
+      id,
+      status: job.status(),
+      done: Math.min(job.doneCount, job.spec.tasks),
+      running: job.running,
+    };
+  }
+}
--- /dev/null
+++ b/src/core/store.ts
@@ -0,0 +1,166 @@
+// The owner's writes: batched into one transaction at a time, each conditional on the term.
+import { type Instant, LONG_AGO, later, type Revision } from '../types/index.ts';
+import { Budget, type Outbox } from './io.ts';
+import { OWNER_KEY } from './leadership.ts';
+import type { Condition, Item, Put, Settings, StateReply } from './model.ts';
+
+export type WriteResult =
+  | { kind: 'ok'; revision: Revision }
+  /** The key of `check` holds something else than what this write would have left. */
+  | { kind: 'conflict'; item: Item | null }
+  | { kind: 'lost' };
+
+export interface Write {
+  conditions: Condition[];
+  puts: Put[];
+  drops: string[];
+  /** The key that tells whether a write without an answer went through; its value carries `w`, unique to the write. */
+  check: string;
+  nonce: string | null;
+  urgent: boolean;
+  done: (r: WriteResult) => void;
+}
+
+const MAX_BYTES = 48 * 1024;
+const RETRY_MS = 250;
+/** Part of the region's write budget that the owner uses; the rest is for taking over. */
+const WRITE_SHARE = 0.85;
+
+export class Store {
+  private queue: Write[] = [];
+  private inFlight: Write[] | null = null;
+  private notBefore: Instant = LONG_AGO;
+  private nonces = 0;
+  /** Since when the state service has refused or not answered; null while it serves. */
+  downSince: Instant | null = null;
+  private readonly writes: Budget;
+  private readonly io: Outbox;
+  private readonly term: Revision;
+  private readonly limits: Settings['state'];
+  private readonly onLost: () => void;
+
+  constructor(io: Outbox, settings: Settings, term: Revision, onLost: () => void) {
+    this.io = io;
+    this.term = term;
+    this.limits = settings.state;
+    this.onLost = onLost;
+    const rate = settings.state.writeRps * WRITE_SHARE;
+    this.writes = new Budget(rate, Math.max(rate, settings.state.txnOps));
+  }
+
+  nonce(): string {
+    return `${this.term}.${++this.nonces}`;
+  }
+
+  get backlog(): number {
+    return this.queue.length + (this.inFlight?.length ?? 0);
+  }
+
+  write(w: Write): void {
+    if (w.urgent) {
+      const at = this.queue.findIndex((q) => !q.urgent);
+      this.queue.splice(at < 0 ? this.queue.length : at, 0, w);
+    } else this.queue.push(w);
+    this.pump();
+  }
+
+  tick(): void {
+    this.pump();
+  }
+
+  private pump(): void {
+    const { io } = this;
+    if (this.inFlight !== null || this.queue.length === 0 || io.now < this.notBefore) return;
+    const n = this.batchSize();
+    const batch = this.queue.slice(0, n);
+    if (!this.writes.take(io.now, countChanges(batch))) return;
+    this.queue = this.queue.slice(n);
+    this.send(batch);
+  }
+
+  private batchSize(): number {
+    let changes = 0;
+    let bytes = 0;
+    let conditions = 1;
+    let n = 0;
+    for (const w of this.queue) {
+      changes += w.puts.length + w.drops.length;
+      conditions += w.conditions.length;
+      bytes += sizeOf(w);
+      const fits =
+        changes <= this.limits.txnOps && conditions <= this.limits.txnOps * 4 && bytes <= MAX_BYTES;
+      if (n > 0 && !fits) break;
+      n++;
+    }
+    return n;
+  }
+
+  private send(batch: Write[]): void {
+    this.inFlight = batch;
+    const conditions = [{ key: OWNER_KEY, revision: this.term }, ...batch.flatMap((w) => w.conditions)];
+    const puts = batch.flatMap((w) => w.puts);
+    const drops = batch.flatMap((w) => w.drops);
+    this.io.state({ kind: 'commit', conditions, puts, drops }, (r) => this.onReply(batch, r), 2000);
+  }
+
+  private onReply(batch: Write[], r: StateReply): void {
+    this.inFlight = null;
+    if (r.kind === 'committed') {
+      this.downSince = null;
+      for (const w of batch) w.done({ kind: 'ok', revision: r.revision });
+    } else if (r.kind === 'conflict') this.onConflict(batch, r.failed);
+    else if (r.kind === 'rejected') {
+      this.io.log('error', 'state service rejected a transaction', {
+        reason: r.reason,
+        keys: batch.map((w) => w.check),
+      });
+      for (const w of batch) w.done({ kind: 'conflict', item: null });
+    } else {
+      // Refused or unanswered: the same batch again. Its conditions let at most one of the copies through,
+      // however late the first one is applied; a conflict is then resolved by reading.
+      if (r.kind !== 'refused' || !r.busy) this.downSince ??= this.io.now;
+      this.queue.unshift(...batch);
+      this.notBefore = later(this.io.now, RETRY_MS);
+    }
+    this.pump();
+  }
+
+  private onConflict(batch: Write[], failed: string[]): void {
+    this.downSince = null;
+    if (failed.includes(OWNER_KEY)) {
+      for (const w of [...batch, ...this.queue.splice(0)]) w.done({ kind: 'lost' });
+      this.onLost();
+      return;
+    }
+    const bad = new Set(failed);
+    const clean: Write[] = [];
+    for (const w of batch) {
+      if (w.conditions.some((c) => bad.has(c.key))) this.settle(w);
+      else clean.push(w);
+    }
+    this.queue.unshift(...clean);
+  }
+
+  /** A write whose condition failed: either its own first copy went through, or something else is there. */
+  private settle(w: Write): void {
+    this.io.state({ kind: 'get', key: w.check }, (r) => {
+      if (r.kind === 'item') {
+        const mine = w.nonce !== null && (r.item.value as { w?: string } | null)?.w === w.nonce;
+        w.done(mine ? { kind: 'ok', revision: r.item.revision } : { kind: 'conflict', item: r.item });
+      } else if (r.kind === 'missing') {
+        if (w.nonce === null) w.done({ kind: 'ok', revision: 0 as Revision });
+        else w.done({ kind: 'conflict', item: null });
+      } else {
+        this.notBefore = later(this.io.now, RETRY_MS);
+        this.queue.unshift(w);
+      }
+    });
+  }
+}
+
+const countChanges = (batch: Write[]): number =>
+  batch.reduce((n, w) => n + w.puts.length + w.drops.length, 0);
+
+const sizeOf = (w: Write): number =>
+  w.puts.reduce((n, p) => n + JSON.stringify(p.value).length + p.key.length + 32, 0) +
+  [...w.drops, ...w.conditions.map((c) => c.key)].reduce((n, k) => n + k.length + 32, 0);
--- /dev/null
+++ b/src/protocol/job.ts
@@ -0,0 +1,134 @@
+// Jobs between JSON on the wire and the domain.
+import type { JobKind, JobSpec, JobStatus, Priority, UserAnswer } from '../core/model.ts';
+import type { JobId, TeamName, TypeName, ZoneName } from '../types/index.ts';
+
+const MAX_TASKS = 100_000;
+const JOB_ID = /^run-[A-Za-z0-9_.-]{1,120}$/;
+const KINDS: Record<string, JobKind> = { batch: 'array', gang: 'gang', daemon: 'service' };
+const PRIORITIES: Record<string, Priority> = { critical: 3, urgent: 2, normal: 1, idle: 0 };
+const STATUS: Record<JobStatus, string> = {
+  queued: 'pending',
+  running: 'running',
+  done: 'done',
+  cancelled: 'aborted',
+};
+
+/** Says which field is wrong; the message is shown to the user. */
+export class InvalidMessage extends Error {}
+
+type Fields = Record<string, unknown>;
+
+export function asObject(value: unknown, what: string): Fields {
+  if (typeof value !== 'object' || value === null || Array.isArray(value))
+    throw new InvalidMessage(`${what} must be an object`);
+  return value as Fields;
+}
+
+export function text(f: Fields, name: string): string {
+  const v = f[name];
+  if (typeof v !== 'string' || v === '' || v.length > 200)
+    throw new InvalidMessage(`${name} must be a string`);
+  return v;
+}
+
+export function amount(f: Fields, name: string, min = 0, max = 1e9): number {
+  const v = f[name];
+  if (typeof v !== 'number' || !Number.isFinite(v) || v < min || v > max)
+    throw new InvalidMessage(`${name} must be a number from ${min}`);
+  return v;
+}
+
+export function count(f: Fields, name: string, min = 0, max = Number.MAX_SAFE_INTEGER): number {
+  const v = f[name];
+  if (typeof v !== 'number' || !Number.isInteger(v) || v < min || v > max)
+    throw new InvalidMessage(`${name} must be a whole number from ${min} to ${max}`);
+  return v;
+}
+
+export function flag(f: Fields, name: string): boolean {
+  const v = f[name];
+  if (typeof v !== 'boolean') throw new InvalidMessage(`${name} must be true or false`);
+  return v;
+}
+
+export const optional = <T>(f: Fields, name: string, read: (f: Fields, name: string) => T): T | null =>
+  f[name] === undefined || f[name] === null ? null : read(f, name);
+
+function oneOf<T>(f: Fields, name: string, known: Record<string, T>): T {
+  const v = f[name];
+  if (typeof v !== 'string' || !Object.hasOwn(known, v))
+    throw new InvalidMessage(`${name} must be one of ${Object.keys(known).join(', ')}`);
+  return known[v] as T;
+}
+
+function typeNames(f: Fields, name: string): TypeName[] {
+  const v = f[name];
+  if (!Array.isArray(v) || v.some((x) => typeof x !== 'string'))
+    throw new InvalidMessage(`${name} must be a list of machine types`);
+  return v as TypeName[];
+}
+
+export function isJobId(id: string): id is JobId {
+  return JOB_ID.test(id);
+}
+
+export function parseJob(json: unknown): JobSpec {
+  const f = asObject(json, 'the job');
+  const id = text(f, 'nameId');
+  if (!isJobId(id)) throw new InvalidMessage('nameId must look like run-000412');
+  return {
+    id,
+    class: text(f, 'jobclass'),
+    team: text(f, 'owner') as TeamName,
+    kind: oneOf(f, 'shape', KINDS),
+    priority: oneOf(f, 'urgency', PRIORITIES),
+    tasks: count(f, 'pieces', 1, MAX_TASKS),
+    cpus: amount(f, 'cores'),
+    gpus: amount(f, 'accelerators'),
+    memoryGb: amount(f, 'memoryGb'),
+    image: text(f, 'bundle'),
+    imageGb: amount(f, 'sizeGb'),
+    types: optional(f, 'berthkinds', typeNames),
+    zone: optional(f, 'yard', text) as ZoneName | null,
+    oneZone: flag(f, 'samePlace'),
+    spread: flag(f, 'scatter'),
+    spot: flag(f, 'loaners'),
+    estimateS: amount(f, 'guessS'),
+    checkpointS: amount(f, 'snapshotS'),
+    saveS: amount(f, 'flushS'),
+    deadlineS: optional(f, 'dueS', amount),
+  };
+}
+
+export interface HttpAnswer {
+  status: number;
+  body: string;
+  retryAfterS?: number;
+}
+
+export const refusal = (status: number, reason: string, retryAfterS?: number): HttpAnswer => ({
+  status,
+  body: JSON.stringify({ error: reason }),
+  ...(retryAfterS === undefined ? {} : { retryAfterS }),
+});
+
+export function encodeUserAnswer(a: UserAnswer): HttpAnswer {
+  switch (a.kind) {
+    case 'accepted':
+      return { status: 201, body: JSON.stringify({ nameId: a.id, status: STATUS.queued }) };
+    case 'known':
+    case 'ended':
+      return { status: 200, body: JSON.stringify({ nameId: a.id, status: STATUS[a.status] }) };
+    case 'status':
+      return {
+        status: 200,
+        body: JSON.stringify({ nameId: a.id, status: STATUS[a.status], done: a.done, running: a.running }),
+      };
+    case 'impossible':
+      return refusal(422, a.reason);
+    case 'not-found':
+      return refusal(404, 'no such job');
+    case 'retry':
+      return refusal(a.overload ? 429 : 503, a.reason, a.afterS);
+  }
+}
--- /dev/null
+++ b/src/protocol/peer.ts
@@ -0,0 +1,106 @@
+// Frames between controllers: a varint-free 4-byte length, then one protobuf Envelope.
+import type { JobSpec, JobStatus, PeerMessage, UserAnswer, UserRequest } from '../core/model.ts';
+import type { JobId, NodeId, Revision } from '../types/index.ts';
+import { swiftford } from './generated/peer.js';
+
+const { Envelope, Ask, Reply } = swiftford.peer;
+const MAX_FRAME = 256 * 1024;
+
+function askFields(id: number, r: UserRequest): swiftford.peer.IAsk {
+  if (r.op === 'submit') return { id, op: Ask.Op.SUBMIT, job: r.spec.id, spec: JSON.stringify(r.spec) };
+  return { id, op: r.op === 'status' ? Ask.Op.STATUS : Ask.Op.CANCEL, job: r.id };
+}
+
+function replyFields(id: number, a: UserAnswer | null): swiftford.peer.IReply {
+  const K = Reply.Kind;
+  if (a === null) return { id, kind: K.NONE };
+  switch (a.kind) {
+    case 'accepted':
+      return { id, kind: K.ACCEPTED, job: a.id };
+    case 'known':
+      return { id, kind: K.KNOWN, job: a.id, status: a.status };
+    case 'ended':
+      return { id, kind: K.ENDED, job: a.id, status: a.status };
+    case 'status':
+      return { id, kind: K.STATUS, job: a.id, status: a.status, done: a.done, running: a.running };
+    case 'impossible':
+      return { id, kind: K.IMPOSSIBLE, reason: a.reason };
+    case 'not-found':
+      return { id, kind: K.NOT_FOUND };
+    case 'retry':
+      return { id, kind: K.RETRY, afterS: a.afterS, reason: a.reason, overload: a.overload };
+  }
+}
+
+export function encodePeer(m: PeerMessage): Buffer {
+  const envelope: swiftford.peer.IEnvelope =
+    m.kind === 'hello'
+      ? { hello: { node: m.node, owner: m.owner } }
+      : m.kind === 'ask'
+        ? { ask: askFields(m.id, m.request) }
+        : { reply: replyFields(m.id, m.answer) };
+  const body = Envelope.encode(envelope).finish();
+  const frame = Buffer.allocUnsafe(4 + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  frame.set(body, 4);
+  return frame;
+}
+
+function decodeAsk(a: swiftford.peer.IAsk): UserRequest {
+  const id = (a.job ?? '') as JobId;
+  if (a.op === Ask.Op.STATUS) return { op: 'status', id };
+  if (a.op === Ask.Op.CANCEL) return { op: 'cancel', id };
+  return { op: 'submit', spec: JSON.parse(a.spec ?? '') as JobSpec };
+}
+
+function decodeAnswer(r: swiftford.peer.IReply): UserAnswer | null {
+  const K = Reply.Kind;
+  const id = (r.job ?? '') as JobId;
+  const status = (r.status ?? 'queued') as JobStatus;
+  switch (r.kind) {
+    case K.ACCEPTED:
+      return { kind: 'accepted', id };
+    case K.KNOWN:
+      return { kind: 'known', id, status };
+    case K.ENDED:
+      return { kind: 'ended', id, status: status === 'done' ? 'done' : 'cancelled' };
+    case K.STATUS:
+      return { kind: 'status', id, status, done: r.done ?? 0, running: r.running ?? 0 };
+    case K.IMPOSSIBLE:
+      return { kind: 'impossible', reason: r.reason ?? '' };
+    case K.NOT_FOUND:
+      return { kind: 'not-found' };
+    case K.RETRY:
+      return { kind: 'retry', afterS: r.afterS ?? 1, reason: r.reason ?? '', overload: r.overload ?? false };
+    default:
+      return null;
+  }
+}
+
+function decodePeer(body: Uint8Array): PeerMessage | null {
+  const e = Envelope.decode(body);
+  if (e.hello)
+    return { kind: 'hello', node: e.hello.node as NodeId, owner: Number(e.hello.owner ?? 0) as Revision };
+  if (e.ask) return { kind: 'ask', id: e.ask.id ?? 0, request: decodeAsk(e.ask) };
+  if (e.reply) return { kind: 'reply', id: e.reply.id ?? 0, answer: decodeAnswer(e.reply) };
+  return null;
+}
+
+/** Collects bytes into frames; throws on a frame no peer of ours would send. */
+export class PeerDecoder {
+  private pending: Buffer = Buffer.alloc(0);
+
+  feed(chunk: Buffer): PeerMessage[] {
+    this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const out: PeerMessage[] = [];
+    while (this.pending.length >= 4) {
+      const size = this.pending.readUInt32BE(0);
+      if (size > MAX_FRAME) throw new Error('peer frame too large');
+      if (this.pending.length < 4 + size) break;
+      const message = decodePeer(this.pending.subarray(4, 4 + size));
+      this.pending = this.pending.subarray(4 + size);
+      if (message !== null) out.push(message);
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/runtime/node.ts
@@ -0,0 +1,225 @@
+// Drives the core of one controller with sockets and timers.
+import { Controller } from '../core/controller.ts';
+import type { DispatchSettings } from '../core/dispatch.ts';
+import type { Effect, Input } from '../core/io.ts';
+import type {
+  CloudOp,
+  CloudReply,
+  Settings,
+  StateOp,
+  StateReply,
+  UserRequest,
+  WorkerReply,
+} from '../core/model.ts';
+import { HttpClient } from '../http/client.ts';
+import type { Message } from '../http/parser.ts';
+import { type Handler, type Reply, serveHttp } from '../http/server.ts';
+import { decodeCloudReply, encodeCloudOp } from '../protocol/cloud.ts';
+import { encodeUserAnswer, InvalidMessage, isJobId, parseJob, refusal } from '../protocol/job.ts';
+import { decodeStateReply, encodeStateOp } from '../protocol/state.ts';
+import { encodeOrders, encodeWorkerAnswer, parseReport } from '../protocol/worker.ts';
+import type { Instant, JobId, NodeId, WallTime } from '../types/index.ts';
+import { splitAddr } from './addr.ts';
+import type { Log } from './log.ts';
+import { Peers } from './peers.ts';
+import { seeded } from './random.ts';
+
+const TICK_MS = 200;
+const MAX_BODY = 64 * 1024;
+const MAX_REPLY = 64 * 1024 * 1024;
+
+export interface RunOptions {
+  dispatch: DispatchSettings;
+  seed: number;
+  log: Log;
+}
+
+export class Node {
+  private readonly core: Controller;
+  private readonly state: HttpClient;
+  /** Watches block; they have connections of their own. */
+  private readonly watches: HttpClient;
+  private readonly cloud: HttpClient;
+  private readonly answers = new Map<number, (reply: Reply) => void>();
+  private readonly peers: Peers;
+  private readonly log: Log;
+  private nextReq = 1;
+
+  constructor(
+    private readonly settings: Settings,
+    options: RunOptions,
+  ) {
+    this.log = options.log;
+    this.core = new Controller(settings, options.dispatch, seeded(options.seed));
+    this.state = new HttpClient(settings.stateAddr, 4, MAX_REPLY);
+    this.watches = new HttpClient(settings.stateAddr, 2, MAX_REPLY);
+    this.cloud = new HttpClient(settings.cloudAddr, 3, MAX_REPLY);
+    this.peers = new Peers(
+      settings,
+      {
+        up: (node) => this.step({ kind: 'peer-up', node }),
+        down: (node) => this.step({ kind: 'peer-down', node }),
+        message: (node, message) => this.step({ kind: 'peer', node: node as NodeId, message }),
+      },
+      (e) => this.log('error', 'peer address cannot be used', { error: e.message }),
+    );
+    this.listen();
+    setInterval(() => this.step({ kind: 'tick' }), TICK_MS);
+    this.step({ kind: 'tick' });
+  }
+
+  private listen(): void {
+    const { host, port } = splitAddr(this.settings.listen);
+    // Some sockets are left for peers, the state service, the cloud and workers that are probed.
+    const maxConnections = Math.max(16, Math.floor(this.settings.sockets * 0.85) - 40);
+    const limits = { maxConnections, maxBody: MAX_BODY, requestMs: 10_000, idleMs: 60_000 };
+    const { server } = serveHttp(host, port, limits, this.handle, () =>
+      this.log('info', 'serving', { addr: this.settings.listen }),
+    );
+    server.on('error', (e) => {
+      this.log('error', 'listening address cannot be used', { addr: this.settings.listen, error: e.message });
+      process.exit(1);
+    });
+  }
+
+  private step(input: Input): void {
+    const effects = this.core.step(performance.now() as Instant, Date.now() as WallTime, input);
+    for (const e of effects) this.carryOut(e);
+  }
+
+  private carryOut(e: Effect): void {
+    switch (e.kind) {
+      case 'answer-user':
+        return this.answer(e.req, encodeUserAnswer(e.answer));
+      case 'answer-worker':
+        return this.answer(e.req, encodeWorkerAnswer(e.answer));
+      case 'state':
+        return this.callState(e.tag, e.op, e.timeoutMs);
+      case 'cloud':
+        return this.callCloud(e.tag, e.op, e.timeoutMs);
+      case 'probe':
+        return this.probe(e);
+      case 'peer':
+        return this.peers.send(e.node, e.message);
+      case 'log':
+        return this.log(e.level, e.message, e.fields);
+    }
+  }
+
+  private answer(req: number, reply: Reply): void {
+    const answer = this.answers.get(req);
+    this.answers.delete(req);
+    answer?.(reply);
+  }
+
+  // ---- outgoing
+
+  private callState(tag: number, op: StateOp, timeoutMs: number): void {
+    const client = op.kind === 'watch' ? this.watches : this.state;
+    client.call({ ...encodeStateOp(op), timeoutMs }, (r) => {
+      const reply = decode<StateReply>(r, (status, json) => decodeStateReply(op, status, json));
+      this.step({ kind: 'state', tag, reply });
+    });
+  }
+
+  private callCloud(tag: number, op: CloudOp, timeoutMs: number): void {
+    this.cloud.call({ ...encodeCloudOp(op), timeoutMs }, (r) => {
+      const reply = decode<CloudReply>(r, (status, json) => decodeCloudReply(op, status, json));
+      this.step({ kind: 'cloud', tag, reply });
+    });
+  }
+
+  /** Raises a machine's token without commands; its report comes back with the answer. */
+  private probe(e: Extract<Effect, { kind: 'probe' }>): void {
+    const client = new HttpClient(e.addr, 1, MAX_REPLY);
+    const body = encodeOrders(e.token, [], e.session);
+    client.call({ method: 'POST', path: '/orders', body, timeoutMs: e.timeoutMs }, (r) => {
+      const reply = decode<WorkerReply>(r, (status, json) =>
+        status === 200 || status === 409
+          ? { kind: 'report', report: parseReport(json), executed: status === 200 }
+          : { kind: 'no-answer' },
+      );
+      client.close();
+      this.step({ kind: 'worker', tag: e.tag, reply });
+    });
+  }
+
+  // ---- incoming
+
+  private readonly handle: Handler = (request, answer) => {
+    try {
+      this.route(request, answer);
+    } catch (e) {
+      if (e instanceof InvalidMessage) answer(refusal(400, e.message));
+      else {
+        this.log('error', 'request failed', { error: (e as Error).stack });
+        answer(refusal(503, 'internal failure', 1));
+      }
+    }
+  };
+
+  private route(request: Message, answer: (r: Reply) => void): void {
+    const path = request.target.split('?', 1)[0]!;
+    if (path === '/checkin') return this.only(request, 'POST', answer, () => this.onReport(request, answer));
+    if (path === '/ready') return this.only(request, 'GET', answer, () => this.onReady(answer));
+    if (path === '/work') return this.only(request, 'POST', answer, () => this.onSubmit(request, answer));
+    const parts = path.split('/');
+    if (parts[1] !== 'work' || parts.length > 4) return answer(refusal(404, 'no such path'));
+    const id = parts[2]!;
+    if (parts.length === 3)
+      return this.only(request, 'GET', answer, () => this.onJob({ op: 'status', id: id as JobId }, answer));
+    if (parts[3] !== 'abort') return answer(refusal(404, 'no such path'));
+    this.only(request, 'POST', answer, () => this.onJob({ op: 'cancel', id: id as JobId }, answer));
+  }
+
+  private only(request: Message, method: string, answer: (r: Reply) => void, then: () => void): void {
+    if (request.method === method) then();
+    else answer(refusal(405, `use ${method}`));
+  }
+
+  private onReady(answer: (r: Reply) => void): void {
+    if (this.core.ready) answer({ status: 200, body: '{"ready":true}' });
+    else answer(refusal(503, 'no controller owns the jobs yet', 1));
+  }
+
+  private register(answer: (r: Reply) => void): number {
+    const req = this.nextReq++;
+    this.answers.set(req, answer);
+    return req;
+  }
+
+  private onReport(request: Message, answer: (r: Reply) => void): void {
+    const report = parseReport(parseJson(request.body));
+    this.step({ kind: 'report', req: this.register(answer), report });
+  }
+
+  private onSubmit(request: Message, answer: (r: Reply) => void): void {
+    const spec = parseJob(parseJson(request.body));
+    this.step({ kind: 'user', req: this.register(answer), request: { op: 'submit', spec } });
+  }
+
+  private onJob(request: UserRequest & { id: JobId }, answer: (r: Reply) => void): void {
+    if (!isJobId(request.id)) return answer(refusal(404, 'no such job'));
+    this.step({ kind: 'user', req: this.register(answer), request });
+  }
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'));
+  } catch {
+    throw new InvalidMessage('the body is not JSON');
+  }
+}
+
+function decode<T>(
+  r: { status: number; body: Buffer } | null,
+  read: (status: number, json: unknown) => T,
+): T | { kind: 'no-answer' } {
+  if (r === null) return { kind: 'no-answer' };
+  try {
+    return read(r.status, r.body.length === 0 ? {} : JSON.parse(r.body.toString('utf8')));
+  } catch {
+    return { kind: 'no-answer' };
+  }
+}
--- /dev/null
+++ b/src/runtime/peers.ts
@@ -0,0 +1,90 @@
+// Links to the other controllers: each node dials every other and speaks on the link it dialled.
+import { connect, createServer, type Socket } from 'node:net';
+import type { PeerMessage, Settings } from '../core/model.ts';
+import { encodePeer, PeerDecoder } from '../protocol/peer.ts';
+import type { NodeId } from '../types/index.ts';
+import { splitAddr } from './addr.ts';
+
+const REDIAL_MS = 500;
+const DIAL_TIMEOUT_MS = 1500;
+/** A link that takes nothing for this long is given up: behind a cut it would swallow messages. */
+const STUCK_BYTES = 512 * 1024;
+
+export interface PeersHost {
+  up(node: NodeId): void;
+  down(node: NodeId): void;
+  message(node: NodeId, m: PeerMessage): void;
+}
+
+class Link {
+  private socket: Socket | null = null;
+  private up = false;
+  constructor(
+    private readonly node: NodeId,
+    private readonly addr: string,
+    private readonly host: PeersHost,
+  ) {
+    this.dial();
+  }
+
+  private dial(): void {
+    const { host, port } = splitAddr(this.addr);
+    const socket = connect({ host, port, noDelay: true });
+    this.socket = socket;
+    const timer = setTimeout(() => socket.destroy(), DIAL_TIMEOUT_MS);
+    socket.on('connect', () => {
+      clearTimeout(timer);
+      this.up = true;
+      this.host.up(this.node);
+    });
+    socket.on('data', () => {});
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      clearTimeout(timer);
+      if (this.up) this.host.down(this.node);
+      this.up = false;
+      setTimeout(() => this.dial(), REDIAL_MS);
+    });
+  }
+
+  send(m: PeerMessage): void {
+    if (!this.up || this.socket === null) return;
+    if (this.socket.writableLength > STUCK_BYTES) this.socket.destroy();
+    else this.socket.write(encodePeer(m));
+  }
+}
+
+export class Peers {
+  private readonly links = new Map<NodeId, Link>();
+
+  constructor(settings: Settings, host: PeersHost, onError: (e: Error) => void) {
+    const { host: bind, port } = splitAddr(settings.peerListen);
+    const names = new Set(settings.peers.map((p) => p.node));
+    createServer({ noDelay: true }, (socket) => listen(socket, names, host))
+      .on('error', onError)
+      .listen({ host: bind, port });
+    for (const p of settings.peers) this.links.set(p.node, new Link(p.node, p.addr, host));
+  }
+
+  send(node: NodeId, m: PeerMessage): void {
+    this.links.get(node)?.send(m);
+  }
+}
+
+/** An incoming link: its first message says who speaks. */
+function listen(socket: Socket, names: Set<NodeId>, host: PeersHost): void {
+  const decoder = new PeerDecoder();
+  let node: NodeId | null = null;
+  socket.on('error', () => socket.destroy());
+  socket.on('data', (data) => {
+    try {
+      for (const m of decoder.feed(data)) {
+        if (m.kind === 'hello' && names.has(m.node)) node = m.node;
+        if (node === null) return void socket.destroy();
+        host.message(node, m);
+      }
+    } catch {
+      socket.destroy();
+    }
+  });
+}
