Move late queued tasks only when another machine has room

Cause: take-back after two report periods sent queued tasks to another full machine, so machines drained for a large task lost it before it could start.

--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -149,7 +149,7 @@
     this.quota.add(job, 1);
   }
 
-  /** A task queued too long on a machine without room waits in the controller again. */
+  /** A task queued too long moves to a machine with room; with none in sight it keeps its turn. */
   private takeBackLate(): void {
     for (const m of this.machines.all.values()) {
       if (m.queue.length === 0) continue;
@@ -157,8 +157,10 @@
         this.machines.takeBackAll(m);
         continue;
       }
-      for (const q of [...m.queue])
-        if (this.io.now - q.since > this.options.takeBackMs && !isGangPart(q)) this.machines.takeBack(m, q);
+      for (const q of [...m.queue]) {
+        if (this.io.now - q.since <= this.options.takeBackMs || isGangPart(q)) continue;
+        if (this.candidates(q.job).some((c) => c !== m && roomAhead(c, q.job))) this.machines.takeBack(m, q);
+      }
     }
   }
 
