--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -1,6 +1,7 @@
 // Join-below-threshold: a task joins a random machine with room, else a random machine whose queue
 // is below the threshold, else it waits in the controller. Tasks queued too long are taken back.
 import type { Attempt, Revision, ZoneName } from '../types/index.ts';
+import type { Fit } from './fit.ts';
 import { planGang } from './gangs.ts';
 import type { Outbox } from './io.ts';
 import { type Job, type Jobs, Task } from './jobs.ts';
@@ -14,6 +15,10 @@
   takeBackMs: number;
 }
 const EPS = 1e-9;
+/** Scores this close are the same. */
+const SAME = 0.05;
+/** A task is not put where it displaces waiting work worth this many times as much. */
+const WASTEFUL = 1.6;
 /** Room for starts between two terms; terms are revisions, and both stay below 2^53. */
 const ATTEMPTS_PER_TERM = 2 ** 24;
 
@@ -29,6 +34,7 @@
   private readonly ordering: Ordering;
   private readonly options: DispatchSettings;
   private readonly term: Revision;
+  private readonly fit: Fit;
 
   constructor(
     io: Outbox,
@@ -38,6 +44,7 @@
     ordering: Ordering,
     options: DispatchSettings,
     term: Revision,
+    fit: Fit,
   ) {
     this.io = io;
     this.jobs = jobs;
@@ -46,6 +53,7 @@
     this.ordering = ordering;
     this.options = options;
     this.term = term;
+    this.fit = fit;
   }
 
   poke(): void {
@@ -65,6 +73,7 @@
     const { io } = this;
     this.takeBackLate();
     this.quota.recount(this.machines.all.values());
+    this.fit.refresh(this.jobs.open.values());
     const waiting = [...this.jobs.open.values()].filter(
       (j) => !j.cancelled && j.waiting > 0 && io.now >= j.retryAt,
     );
@@ -123,21 +132,25 @@
     return out;
   }
 
-  /** Random among machines with room, those better suited first; else random below the threshold. */
+  /** Random among the best suited machines with room, else among those whose queue is below the threshold. */
   private choose(job: Job, open: Machine[]): Machine | null {
-    let best: Machine[] = [];
-    let bestTier = Number.POSITIVE_INFINITY;
-    for (const m of open) {
-      if (!roomAhead(m, job)) continue;
-      const tier = suits(m, job);
-      if (tier < bestTier) {
-        best = [];
-        bestTier = tier;
-      }
-      if (tier === bestTier) best.push(m);
-    }
-    if (best.length === 0) best = open.filter((m) => m.queue.length < this.options.threshold);
-    return best.length === 0 ? null : best[this.io.random.below(best.length)]!;
+    const room = open.filter((m) => roomAhead(m, job));
+    const best = this.lowest(room, (m) => this.fit.score(job, m));
+    if (best.length > 0) return this.pick(best);
+    const below = open.filter((m) => m.queue.length < this.options.threshold && !roomAhead(m, job));
+    return this.pick(this.lowest(below, (m) => this.fit.typeScore(job, m.type)));
+  }
+
+  /** Machines whose score is about the lowest; none if the job would displace work worth much more than itself. */
+  private lowest(machines: Machine[], score: (m: Machine) => number): Machine[] {
+    const scored = machines.map((m) => ({ m, s: score(m) }));
+    const min = Math.min(...scored.map((x) => x.s));
+    if (min > WASTEFUL) return [];
+    return scored.filter((x) => x.s <= min + SAME).map((x) => x.m);
+  }
+
+  private pick(machines: Machine[]): Machine | null {
+    return machines.length === 0 ? null : machines[this.io.random.below(machines.length)]!;
   }
 
   private enqueue(m: Machine, job: Job, index: number, attempt: Attempt): void {
@@ -211,13 +224,6 @@
   return cpus + EPS >= job.spec.cpus && gpus + EPS >= job.spec.gpus && memory + EPS >= job.spec.memoryGb;
 }
 
-/** Lower is better: no accelerators wasted, then an image already there, then machines already at work. */
-function suits(m: Machine, job: Job): number {
-  const wasted = job.spec.gpus === 0 && m.type.gpus > 0 ? 4 : 0;
-  const image = m.images.has(job.spec.image) ? 0 : 2;
-  return wasted + image + (m.entries.size > 0 ? 0 : 1);
-}
-
 function compare(a: number[], b: number[]): number {
   for (let i = 0; i < a.length; i++) {
     const d = a[i]! - b[i]!;
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -1,6 +1,7 @@
 // What the owner of the share does during one term. A new term starts with a new one of these.
 import { NEVER, type Revision } from '../types/index.ts';
 import { Dispatch, type DispatchSettings } from './dispatch.ts';
+import { Fit } from './fit.ts';
 import { canEverRun, Fleet } from './fleet.ts';
 import type { Outbox } from './io.ts';
 import { type Entry, Job, Jobs, retry } from './jobs.ts';
@@ -37,8 +38,17 @@
     this.machines = new Machines(io, settings, this.store, this.jobs, host, term);
     this.quota = new Quota(settings);
     const ordering = new Ordering(settings.objectives, this.estimates);
-    this.dispatch = new Dispatch(io, this.jobs, this.machines, this.quota, ordering, options, term);
     this.fleet = new Fleet(io, settings, this.jobs, this.machines, this.quota, this.estimates, term);
+    this.dispatch = new Dispatch(
+      io,
+      this.jobs,
+      this.machines,
+      this.quota,
+      ordering,
+      options,
+      term,
+      new Fit(this.fleet.types),
+    );
     this.recovery = new Recovery(io, settings, this.jobs, this.machines, this.fleet);
     this.jobs.onAccepted = () => this.dispatch.poke();
     this.recovery.onComplete = () => this.dispatch.poke();
