Keep spare room for classes whose wait aim is shorter than a boot

Cause: every root ceremony that found no free machine waited a boot of 20 s for an aim of 8 s. Spare tasks come from the arrivals seen and the aims' share.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,13 +9,13 @@
   type TypeName,
   type ZoneName,
 } from '../types/index.ts';
-import { mayRunOn } from './dispatch.ts';
 import { Budget, type Outbox } from './io.ts';
 import type { Job, Jobs } from './jobs.ts';
 import type { Machine, Machines } from './machines.ts';
 import type { CloudReply, ListedMachine, MachineType, Settings } from './model.ts';
 import type { Estimates } from './order.ts';
 import type { Quota } from './quota.ts';
+import { readyTimeS, Warm } from './warm.ts';
 
 interface Request {
   name: string;
@@ -35,13 +35,15 @@
   cpus: number;
   gpus: number;
   memory: number;
-  images: Set<string> | null;
+  /** The machine it is on, if that is up or booting. */
+  machine: Machine | null;
 }
 
 const PLAN_MS = 500;
 const LIST_MS = 5000;
 /** A refusal for want of machines holds for this long. */
 const REFUSED_MS = 15_000;
+const REPORT_MS = 10_000;
 const MIN_AGE_MS = 60_000;
 /** Part of the cloud's call budget used for renting and returning; the rest is for lists. */
 const CLOUD_SHARE = 0.7;
@@ -49,9 +51,13 @@
 export class Fleet {
   types: Map<TypeName, MachineType> = new Map();
   private readonly requests: Request[] = [];
+  /** Machines that waiting work or spare room is counted on. */
+  private readonly wanted = new Set<MachineId>();
+  readonly warm: Warm;
   private readonly refused = new Map<string, Instant>();
   private nextPlan: Instant = LONG_AGO;
   private nextList: Instant = LONG_AGO;
+  private nextReport: Instant = LONG_AGO;
   private listing = false;
   private releasingNow = false;
   private releaseAt: Instant = LONG_AGO;
@@ -79,6 +85,7 @@
     this.quota = quota;
     this.estimates = estimates;
     this.term = term;
+    this.warm = new Warm(io, settings.objectives);
     const rate = settings.cloud.rps * CLOUD_SHARE;
     this.budget = new Budget(rate, Math.max(1, rate));
   }
@@ -93,18 +100,57 @@
       this.returnIdle();
     }
     this.release();
+    this.report();
+  }
+
+  /** For operators who look into how well the fleet fits the work. */
+  private report(): void {
+    if (this.io.now < this.nextReport) return;
+    this.nextReport = later(this.io.now, REPORT_MS);
+    const fleet: Record<string, string> = {};
+    const kinds = new Map<string, { n: number; booting: number; idle: number; cpus: number; gpus: number }>();
+    for (const m of this.machines.all.values()) {
+      const key = `${m.type.name}/${m.spot ? 'spot' : 'ordinary'}`;
+      const k = kinds.get(key) ?? { n: 0, booting: 0, idle: 0, cpus: 0, gpus: 0 };
+      kinds.set(key, k);
+      k.n++;
+      if (!m.up) k.booting++;
+      else if (m.empty) k.idle++;
+      k.cpus += m.usedCpus / m.type.cpus;
+      k.gpus += m.type.gpus > 0 ? m.usedGpus / m.type.gpus : 0;
+    }
+    for (const [key, k] of kinds)
+      fleet[key] =
+        `${k.n} (${k.booting} booting, ${k.idle} idle), busy ${k.cpus.toFixed(1)} by CPU, ${k.gpus.toFixed(1)} by GPU`;
+    const work: Record<string, string> = {};
+    for (const j of this.jobs.open.values()) {
+      const [jobs, waiting, queued, live] = (work[j.spec.class] ?? '0 0 0 0').split(' ').map(Number) as [
+        number,
+        number,
+        number,
+        number,
+      ];
+      work[j.spec.class] = `${jobs + 1} ${waiting + j.waiting} ${queued + j.queued} ${live + j.live}`;
+    }
+    this.io.log('debug', 'fleet and work (jobs, tasks waiting, queued, on machines)', { fleet, work });
   }
 
   // ---- renting
 
   private rentForDemand(): void {
     const free = this.supply();
+    this.wanted.clear();
     const need = new Map<string, Request>();
     for (const job of this.demand()) {
       let n = Math.min(job.waiting + job.queued, this.teamRoom(job));
-      while (n > 0 && useFree(free, job)) n--;
+      while (n > 0 && useFree(free, job, this.wanted)) n--;
       if (n > 0) this.rentFor(job, n, free, need);
     }
+    for (const spare of this.warm.spares((job) => readyTimeS(this.types.values(), job, typeFits))) {
+      let n = spare.tasks;
+      while (n > 0 && useFree(free, spare.job, this.wanted)) n--;
+      if (n > 0) this.rentFor(spare.job, n, free, need);
+    }
     for (const r of need.values()) {
       this.requests.push(r);
       this.io.log('info', 'renting', {
@@ -143,7 +189,7 @@
         cpus: m.type.cpus - m.usedCpus,
         gpus: m.type.gpus - m.usedGpus,
         memory: m.type.memoryGb - m.usedMemory,
-        images: null,
+        machine: m,
       };
       for (const e of m.entries.values()) {
         if (!this.endsSoon(e, m)) continue;
@@ -280,7 +326,7 @@
     // Results not yet recorded would be lost with the machine.
     if (!m.empty || [...m.exited.values()].some((x) => x.why === 'done')) return null;
     if (m.drain !== null) return m.drain;
-    if (!m.synced || age < MIN_AGE_MS) return null;
+    if (!m.synced || age < MIN_AGE_MS || this.wanted.has(m.id)) return null;
     // Holding an idle machine for as long as a new one would take to get ready costs at most twice the best choice.
     const patience = m.type.bootS * 1000 + 10_000;
     return now - m.idleSince > patience ? 'idle' : null;
@@ -358,7 +404,7 @@
   cpus: type.cpus,
   gpus: type.gpus,
   memory: type.memoryGb,
-  images: null,
+  machine: null,
 });
 
 export function perMachine(type: MachineType, job: Job): number {
@@ -378,23 +424,26 @@
   return true;
 }
 
-function useFree(free: Free[], job: Job): boolean {
+function useFree(free: Free[], job: Job, wanted: Set<MachineId>): boolean {
   for (const f of free) {
     if (f.spot && !job.spec.spot) continue;
     if (job.spec.zone !== null && job.spec.zone !== f.zone) continue;
     if (job.spec.types !== null && !job.spec.types.includes(f.type.name)) continue;
-    if (takeFrom(f, job)) return true;
+    if (!takeFrom(f, job)) continue;
+    if (f.machine !== null) wanted.add(f.machine.id);
+    return true;
   }
   return false;
 }
 
 export const canEverRun = (types: Iterable<MachineType>, job: Job): boolean => {
-  for (const t of types) if (perMachine(t, job) >= 1 && mayRunOnType(t, job)) return true;
+  for (const t of types) if (typeFits(t, job)) return true;
   return false;
 };
 
+export const typeFits = (t: MachineType, job: Job): boolean =>
+  perMachine(t, job) >= 1 && mayRunOnType(t, job);
+
 const mayRunOnType = (t: MachineType, job: Job): boolean =>
   (job.spec.types === null || job.spec.types.includes(t.name)) &&
   (job.spec.zone === null || t.zones.includes(job.spec.zone));
-
-export { mayRunOn };
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -50,7 +50,10 @@
       new Fit(this.fleet.types),
     );
     this.recovery = new Recovery(io, settings, this.jobs, this.machines, this.fleet);
-    this.jobs.onAccepted = () => this.dispatch.poke();
+    this.jobs.onAccepted = (job) => {
+      this.fleet.warm.arrived(job);
+      this.dispatch.poke();
+    };
     this.recovery.onComplete = () => this.dispatch.poke();
     this.jobs.onEnded = (job) => this.unqueue(job);
   }
--- /dev/null
+++ b/src/core/warm.ts
@@ -0,0 +1,88 @@
+// Spare room for classes whose aims allow a shorter wait than a machine takes to boot: what arrives
+// during a boot must find its place ready. Everything comes from the aims and the arrivals seen.
+import { type Instant, since } from '../types/index.ts';
+import type { Outbox } from './io.ts';
+import type { Job } from './jobs.ts';
+import type { MachineType, Objective } from './model.ts';
+
+const WINDOW_MS = 150_000;
+/** Before this much of a window has been seen, a rate is not trusted. */
+const FIRST_MS = 20_000;
+
+interface Seen {
+  sample: Job;
+  arrivals: { at: Instant; tasks: number }[];
+}
+
+export class Warm {
+  private readonly classes = new Map<string, Seen>();
+  private readonly io: Outbox;
+  private readonly objectives: Objective[];
+  private readonly beganAt: Instant;
+
+  constructor(io: Outbox, objectives: Objective[]) {
+    this.io = io;
+    this.objectives = objectives;
+    this.beganAt = io.now;
+  }
+
+  arrived(job: Job): void {
+    const seen = this.classes.get(job.spec.class) ?? { sample: job, arrivals: [] };
+    seen.sample = job;
+    seen.arrivals.push({ at: this.io.now, tasks: job.spec.tasks });
+    this.classes.set(job.spec.class, seen);
+  }
+
+  /** For each class, a job like its own and the number of its tasks to keep room for. */
+  spares(readyS: (job: Job) => number): { job: Job; tasks: number }[] {
+    const out: { job: Job; tasks: number }[] = [];
+    const span = Math.min(WINDOW_MS, since(this.io.now, this.beganAt));
+    if (span < FIRST_MS) return out;
+    for (const [cls, seen] of this.classes) {
+      seen.arrivals = seen.arrivals.filter((a) => since(this.io.now, a.at) < WINDOW_MS);
+      const aim = this.shortestWait(cls);
+      const boot = readyS(seen.sample);
+      if (aim === null || aim.withinS >= boot || seen.arrivals.length === 0) continue;
+      const gapMs = span / seen.arrivals.length;
+      // A silence this long says that the class has stopped coming.
+      if (since(this.io.now, seen.arrivals.at(-1)!.at) > 3 * gapMs) continue;
+      const expected = (boot * 1000) / gapMs;
+      const perJob = seen.arrivals.reduce((n, a) => n + a.tasks, 0) / seen.arrivals.length;
+      out.push({
+        job: seen.sample,
+        tasks: Math.ceil((expected + quantile(aim.share) * Math.sqrt(expected)) * perJob),
+      });
+    }
+    return out;
+  }
+
+  private shortestWait(cls: string): { withinS: number; share: number } | null {
+    let best: { withinS: number; share: number } | null = null;
+    for (const o of this.objectives) {
+      if (o.kind !== 'wait' || o.class !== cls || o.withinS === null) continue;
+      if (best === null || o.withinS < best.withinS) best = { withinS: o.withinS, share: o.share ?? 0.9 };
+    }
+    return best;
+  }
+}
+
+/** Standard normal quantile for shares from a half up, to within a few hundredths. */
+export function quantile(share: number): number {
+  const p = Math.min(0.999, Math.max(0.5, share));
+  const t = Math.sqrt(-2 * Math.log(1 - p));
+  return Math.max(0, t - (2.30753 + 0.27061 * t) / (1 + 0.99229 * t + 0.04481 * t * t));
+}
+
+/** How long a new machine takes until a task of the job can run on it, for the quickest type that fits. */
+export function readyTimeS(
+  types: Iterable<MachineType>,
+  job: Job,
+  fits: (t: MachineType, job: Job) => boolean,
+): number {
+  let best = Number.POSITIVE_INFINITY;
+  for (const t of types) {
+    if (!fits(t, job)) continue;
+    best = Math.min(best, t.bootS + (t.fetchGbPerS > 0 ? job.spec.imageGb / t.fetchGbPerS : 0));
+  }
+  return Number.isFinite(best) ? best : 0;
+}
