Keep machine types on record; time the fence of silent machines from loading

The new owner waited 29 s for /flavors, then found its fence time already past and returned every machine before hearing any. Types are now asked for by every node and kept in the state service; the fence runs from when records are read.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,5 +1,6 @@
 // The core of one controller: a state machine that takes inputs and returns what to send and answer.
 import { type Instant, later, type NodeId, type WallTime } from '../types/index.ts';
+import { Catalogue } from './catalogue.ts';
 import type { DispatchSettings } from './dispatch.ts';
 import { type Effect, type Input, Outbox, type Random } from './io.ts';
 import { retry } from './jobs.ts';
@@ -29,6 +30,7 @@
   readonly leadership: Leadership;
   share: Share | null = null;
   private readonly lookup: Lookup;
+  private readonly catalogue: Catalogue;
   private readonly peersUp = new Set<NodeId>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
@@ -38,10 +40,11 @@
     this.settings = settings;
     this.io = new Outbox(random);
     this.lookup = new Lookup(this.io, settings);
+    this.catalogue = new Catalogue(this.io);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
     this.leadership = new Leadership(this.io, settings.node, rank, {
       onOwned: (term) => {
-        this.share = new Share(this.io, settings, options, term, () =>
+        this.share = new Share(this.io, settings, options, term, this.catalogue, () =>
           this.leadership.lose('a write found another owner'),
         );
         this.announce();
@@ -96,6 +99,7 @@
 
   private tick(): void {
     this.leadership.tick();
+    this.catalogue.tick(this.share !== null);
     this.share?.tick(this.mayCommand());
     this.lookup.tick();
     this.expire();
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -49,7 +49,7 @@
 const CLOUD_SHARE = 0.7;
 
 export class Fleet {
-  types: Map<TypeName, MachineType> = new Map();
+  readonly types: Map<TypeName, MachineType>;
   private readonly requests: Request[] = [];
   /** Machines that waiting work or spare room is counted on. */
   private readonly wanted = new Set<MachineId>();
@@ -78,7 +78,9 @@
     quota: Quota,
     estimates: Estimates,
     term: Revision,
+    types: Map<TypeName, MachineType>,
   ) {
+    this.types = types;
     this.io = io;
     this.jobs = jobs;
     this.machines = machines;
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -4,14 +4,15 @@
   LONG_AGO,
   later,
   type MachineId,
+  NEVER,
   type TypeName,
   type ZoneName,
 } from '../types/index.ts';
-import type { Fleet } from './fleet.ts';
+import { type Catalogue, TYPE } from './catalogue.ts';
 import type { Outbox } from './io.ts';
 import { BITS, type Job, type Jobs, OPEN, Task } from './jobs.ts';
 import { MACHINE, type Machine, type Machines } from './machines.ts';
-import type { CloudReply, Item, MachineType, Settings, StateReply } from './model.ts';
+import type { Item, MachineType, Settings, StateReply } from './model.ts';
 
 const RETRY_MS = 250;
 const PROBE_MS = 2000;
@@ -33,19 +34,21 @@
   private retryAt: Instant = LONG_AGO;
   private after: string | null = null;
   private readonly takenAt: Instant;
+  /** Machines are given time to speak from here, however long reading the records took. */
+  private loadedAt: Instant = NEVER;
   private readonly probedAt = new Map<MachineId, Instant>();
   private readonly io: Outbox;
   private readonly settings: Settings;
   private readonly jobs: Jobs;
   private readonly machines: Machines;
-  private readonly fleet: Fleet;
+  private readonly catalogue: Catalogue;
 
-  constructor(io: Outbox, settings: Settings, jobs: Jobs, machines: Machines, fleet: Fleet) {
+  constructor(io: Outbox, settings: Settings, jobs: Jobs, machines: Machines, catalogue: Catalogue) {
     this.io = io;
     this.settings = settings;
     this.jobs = jobs;
     this.machines = machines;
-    this.fleet = fleet;
+    this.catalogue = catalogue;
     this.takenAt = io.now;
   }
 
@@ -57,11 +60,8 @@
   private load(): void {
     if (this.busy || this.io.now < this.retryAt) return;
     this.busy = true;
-    if (this.step === 'types') this.io.cloud({ kind: 'types' }, (r) => this.onTypes(r), 2500);
-    else {
-      const prefix = { jobs: OPEN, bits: BITS, machines: MACHINE }[this.step];
-      this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r));
-    }
+    const prefix = { types: TYPE, jobs: OPEN, bits: BITS, machines: MACHINE }[this.step];
+    this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r));
   }
 
   private again(): void {
@@ -69,12 +69,6 @@
     this.retryAt = later(this.io.now, RETRY_MS);
   }
 
-  private onTypes(r: CloudReply): void {
-    if (r.kind !== 'types') return this.again();
-    for (const t of r.types) this.fleet.types.set(t.name, t);
-    this.next('jobs');
-  }
-
   private next(step: Recovery['step']): void {
     this.step = step;
     this.after = null;
@@ -89,12 +83,24 @@
       this.after = r.items.at(-1)?.key ?? null;
       this.busy = false;
       this.load();
-    } else if (this.step === 'jobs') this.next('bits');
+    } else if (this.step === 'types') this.afterTypes();
+    else if (this.step === 'jobs') this.next('bits');
     else if (this.step === 'bits') this.next('machines');
     else this.finishLoading();
   }
 
+  /** Without any type, from the record or the cloud, nothing can be judged: asked again until there is one. */
+  private afterTypes(): void {
+    if (this.catalogue.known) this.next('jobs');
+    else this.again();
+  }
+
   private take(item: Item): void {
+    if (this.step === 'types')
+      return this.catalogue.restore(
+        item.key.slice(TYPE.length) as TypeName,
+        (item.value as { v: MachineType }).v,
+      );
     if (this.step === 'jobs') this.jobs.load(item);
     else if (this.step === 'bits') this.jobs.loadBits(item);
     else this.takeMachine(item);
@@ -104,7 +110,7 @@
     const v = item.value as MachineRecord;
     const id = item.key.slice(MACHINE.length) as MachineId;
     // A type no longer offered still counts, as if it held everything, until the machine is settled.
-    const type = this.fleet.types.get(v.t) ?? vanishedType(v.t);
+    const type = this.catalogue.types.get(v.t) ?? vanishedType(v.t);
     // Whoever owned the share before stops answering in time for the first (see docs/safety.md);
     // this node may itself have answered the machine since.
     const { cancelS, leaseS } = this.settings.workers;
@@ -115,6 +121,7 @@
 
   private finishLoading(): void {
     this.loaded = true;
+    this.loadedAt = this.io.now;
     this.busy = false;
     this.io.log('info', 'state read', { jobs: this.jobs.open.size, machines: this.machines.all.size });
   }
@@ -126,7 +133,7 @@
     const blocked = this.machinesBlockWork();
     for (const m of silent) {
       this.probe(m);
-      if (blocked && !m.releasing && this.io.now - this.takenAt > this.fenceAfterMs()) {
+      if (blocked && !m.releasing && this.io.now - this.loadedAt > this.fenceAfterMs()) {
         m.releasing = true;
         this.io.log('info', 'silent machine is returned to settle what it runs', { machine: m.id });
       }
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -1,5 +1,6 @@
 // What the owner of the share does during one term. A new term starts with a new one of these.
 import { NEVER, type Revision } from '../types/index.ts';
+import type { Catalogue } from './catalogue.ts';
 import { Dispatch, type DispatchSettings } from './dispatch.ts';
 import { Fit } from './fit.ts';
 import { canEverRun, Fleet } from './fleet.ts';
@@ -25,9 +26,18 @@
   private readonly quota: Quota;
   private readonly estimates = new Estimates();
   private readonly io: Outbox;
+  private readonly catalogue: Catalogue;
 
-  constructor(io: Outbox, settings: Settings, options: DispatchSettings, term: Revision, onLost: () => void) {
+  constructor(
+    io: Outbox,
+    settings: Settings,
+    options: DispatchSettings,
+    term: Revision,
+    catalogue: Catalogue,
+    onLost: () => void,
+  ) {
     this.io = io;
+    this.catalogue = catalogue;
     this.store = new Store(io, settings, term, onLost);
     this.jobs = new Jobs(io, this.store);
     const host = {
@@ -38,7 +48,16 @@
     this.machines = new Machines(io, settings, this.store, this.jobs, host, term);
     this.quota = new Quota(settings);
     const ordering = new Ordering(settings.objectives, this.estimates);
-    this.fleet = new Fleet(io, settings, this.jobs, this.machines, this.quota, this.estimates, term);
+    this.fleet = new Fleet(
+      io,
+      settings,
+      this.jobs,
+      this.machines,
+      this.quota,
+      this.estimates,
+      term,
+      catalogue.types,
+    );
     this.dispatch = new Dispatch(
       io,
       this.jobs,
@@ -49,7 +68,7 @@
       term,
       new Fit(this.fleet.types),
     );
-    this.recovery = new Recovery(io, settings, this.jobs, this.machines, this.fleet);
+    this.recovery = new Recovery(io, settings, this.jobs, this.machines, catalogue);
     this.jobs.onAccepted = (job) => {
       this.fleet.warm.arrived(job);
       this.dispatch.poke();
@@ -62,6 +81,7 @@
     this.recovery.tick();
     this.store.tick();
     if (!this.recovery.loaded) return;
+    this.catalogue.record(this.store);
     this.jobs.tick();
     this.machines.tick();
     this.fleet.tick(this.recovery.complete && mayCommand);
