Hold idle machines' reports for a moment; record machines when first heard

Cause: a task for an idle machine waited for its next report (up to 3.75 s), and machines still booting at a take-over counted as silent and were returned.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -50,6 +50,7 @@
         this.announce();
       },
       onLost: () => {
+        this.share?.close();
         this.share = null;
         this.announce();
       },
@@ -60,6 +61,7 @@
   step(now: Instant, wall: WallTime, input: Input): Effect[] {
     this.io.begin(now, wall);
     this.take(input);
+    if (this.mayCommand()) this.share?.settle();
     return this.io.drain();
   }
 
@@ -81,7 +83,9 @@
           this.io.emit({ kind: 'answer-user', req: input.req, answer }),
         );
       case 'report':
-        return this.io.emit({ kind: 'answer-worker', req: input.req, answer: this.report(input.report) });
+        return this.report(input.report, (answer) =>
+          this.io.emit({ kind: 'answer-worker', req: input.req, answer }),
+        );
       case 'state':
       case 'cloud':
       case 'worker':
@@ -122,15 +126,15 @@
 
   // ---- workers
 
-  private report(r: Report): WorkerAnswer {
+  private report(r: Report, answer: (a: WorkerAnswer) => void): void {
     const { share, leadership: l } = this;
     if (share !== null && r.token > share.machines.token) {
       l.superseded();
-      return { kind: 'elsewhere', node: null };
+      return answer({ kind: 'elsewhere', node: null });
     }
-    if (share !== null && this.mayCommand()) return share.report(r);
+    if (share !== null && this.mayCommand()) return share.report(r, answer);
     const owner = l.owner?.node ?? null;
-    return { kind: 'elsewhere', node: owner === this.settings.node ? null : owner };
+    answer({ kind: 'elsewhere', node: owner === this.settings.node ? null : owner });
   }
 
   // ---- users
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -304,7 +304,7 @@
     }
     for (const id of got) {
       if (this.machines.all.has(id) || this.machines.buried.has(id)) continue;
-      this.machines.record(this.machines.newMachine(id, r.type, r.zone, r.spot, NEVER));
+      this.machines.newMachine(id, r.type, r.zone, r.spot, NEVER);
     }
   }
 
@@ -392,7 +392,6 @@
     const found = this.machines.newMachine(l.id, type, l.zone, l.spot, NEVER);
     found.addr = l.addr;
     if (l.status === 'failed') found.releasing = true;
-    else this.machines.record(found);
   }
 }
 
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -1,5 +1,5 @@
 // What the owner of the share does during one term. A new term starts with a new one of these.
-import { NEVER, type Revision } from '../types/index.ts';
+import { type Instant, later, type MachineId, NEVER, type Revision } from '../types/index.ts';
 import type { Catalogue } from './catalogue.ts';
 import { Dispatch, type DispatchSettings } from './dispatch.ts';
 import { Fit } from './fit.ts';
@@ -15,6 +15,15 @@
 
 /** Accepting work stops while this many writes wait: users are told to come back instead. */
 const MAX_BACKLOG = 120;
+/** Longest time for which an idle machine's report is held; workers wait for 4 s. */
+const HOLD_MAX_MS = 2000;
+
+interface Held {
+  m: Machine;
+  commands: Command[];
+  answer: (a: WorkerAnswer) => void;
+  until: Instant;
+}
 
 export class Share {
   readonly jobs: Jobs;
@@ -24,6 +33,8 @@
   readonly store: Store;
   private readonly dispatch: Dispatch;
   private readonly quota: Quota;
+  private readonly held = new Map<MachineId, Held>();
+  private readonly holdMs: number;
   private readonly estimates = new Estimates();
   private readonly io: Outbox;
   private readonly catalogue: Catalogue;
@@ -38,6 +49,8 @@
   ) {
     this.io = io;
     this.catalogue = catalogue;
+    // Workers give up after 4 s; and a change on the machine is told only once the last report is answered.
+    this.holdMs = Math.min(HOLD_MAX_MS, settings.workers.reportS * 1000);
     this.store = new Store(io, settings, term, onLost);
     this.jobs = new Jobs(io, this.store);
     const host = {
@@ -85,7 +98,16 @@
     this.jobs.tick();
     this.machines.tick();
     this.fleet.tick(this.recovery.complete && mayCommand);
+    if (!mayCommand) return this.close();
     this.dispatch.pass(true);
+    this.answerHeld();
+  }
+
+  /** After any input: work that has come may start at once on a machine whose report is held. */
+  settle(): void {
+    if (!this.recovery.loaded || this.held.size === 0) return;
+    this.dispatch.pass(false);
+    this.answerHeld();
   }
 
   private learn(e: Entry): void {
@@ -101,19 +123,54 @@
 
   // ---- workers
 
-  /** Answers a report under this node's token; the caller has checked that it may. */
-  report(r: Report): WorkerAnswer {
+  /**
+   * Takes a report in under this node's token; the caller has checked that it may. An idle machine's answer is
+   * held for a moment, so that work arriving meanwhile starts without waiting for the next report.
+   */
+  report(r: Report, answer: (a: WorkerAnswer) => void): void {
     const { token } = this.machines;
     // Raising the token is all that may be done before the records are read.
-    if (!this.recovery.loaded) return { kind: 'orders', token, commands: [] };
+    if (!this.recovery.loaded) return answer({ kind: 'orders', token, commands: [] });
     const m = this.machines.all.get(r.machine) ?? this.adopt(r);
-    if (m === null) return { kind: 'elsewhere', node: null };
-    this.machines.answered(m);
-    const commands: Command[] | null = this.machines.report(m, r);
-    if (commands === null) return { kind: 'orders', token, commands: [] };
+    if (m === null) return answer({ kind: 'elsewhere', node: null });
+    this.release(m);
+    const commands = this.machines.report(m, r);
+    if (commands === null) {
+      // Older than what is known: its task list says nothing, and its worker has given up waiting.
+      this.machines.answered(m);
+      return answer({ kind: 'orders', token, commands: [] });
+    }
+    if (m.synced) this.machines.record(m);
+    this.held.set(m.id, { m, commands, answer, until: later(this.io.now, this.holdMs) });
     this.dispatch.pass(false);
-    commands.push(...this.machines.startQueued(m, () => true));
-    return { kind: 'orders', token, commands };
+    this.answerHeld();
+  }
+
+  /** Answers held reports that have something to tell, or whose time is up. */
+  private answerHeld(): void {
+    for (const [id, h] of this.held) {
+      h.commands.push(...this.machines.startQueued(h.m, () => true));
+      const wait =
+        h.commands.length === 0 && h.m.synced && h.m.empty && h.m.drain === null && this.io.now < h.until;
+      if (wait) continue;
+      this.held.delete(id);
+      this.machines.answered(h.m);
+      h.answer({ kind: 'orders', token: this.machines.token, commands: h.commands });
+    }
+  }
+
+  /** A newer report shows that the worker no longer waits for the answer to the last one. */
+  private release(m: Machine): void {
+    const h = this.held.get(m.id);
+    if (h === undefined) return;
+    this.held.delete(m.id);
+    h.answer({ kind: 'elsewhere', node: null });
+  }
+
+  /** The term is over: workers are sent on. */
+  close(): void {
+    for (const h of this.held.values()) h.answer({ kind: 'elsewhere', node: null });
+    this.held.clear();
   }
 
   /** A machine nobody expected: rented by an unanswered request, or by an earlier owner. */
@@ -121,9 +178,7 @@
     const type = this.fleet.types.get(r.type);
     if (type === undefined || this.machines.buried.has(r.machine)) return null;
     this.io.log('info', 'machine adopted from its report', { machine: r.machine });
-    const m = this.machines.newMachine(r.machine, type, r.zone, r.spot, NEVER);
-    this.machines.record(m);
-    return m;
+    return this.machines.newMachine(r.machine, type, r.zone, r.spot, NEVER);
   }
 
   // ---- users
