--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -32,7 +32,7 @@
     try {
       const settings = readSettings(o.config);
       const log = openLog(settings.node, process.env.LOG_LEVEL);
-      const seed = (Date.now() ^ (process.pid << 16)) | 0;
+      const seed = [...settings.node].reduce((h, c) => (h * 31 + c.charCodeAt(0)) | 0, Date.now() | 0);
       new Node(settings, {
         dispatch: { threshold: 2, takeBackMs: 2 * settings.workers.reportS * 1000 },
         seed,
