A late report no longer takes a task's place from its running attempt

Reports of a session known to be over are now dropped, and a second entry of a task never replaces or frees the first. Ruled out: leases counted too short, held answers.

--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -62,6 +62,11 @@
   finishing = false;
   /** Tasks that exist on machines or may: index to entry. */
   readonly entries = new Map<number, Entry>();
+  /**
+   * Further entries of tasks that have one already. Held-back reports list tasks that have since been given up
+   * and started elsewhere; such an entry must never stand in for the real one, nor free the task when it goes.
+   */
+  private extra: Entry[] = [];
   /** Tasks that became free again, next to start. */
   private readonly again: number[] = [];
   private next = 0;
@@ -133,6 +138,28 @@
     else if (s === Task.Done) this.doneCount += by;
   }
 
+  addEntry(e: Entry): void {
+    if (this.entries.has(e.index)) this.extra.push(e);
+    else this.entries.set(e.index, e);
+    if (this.state[e.index] !== Task.Done) this.move(e.index, Task.Active);
+  }
+
+  /** The task is free again only when its last entry goes. */
+  dropEntry(e: Entry): void {
+    if (this.entries.get(e.index) !== e) {
+      this.extra = this.extra.filter((x) => x !== e);
+      return;
+    }
+    const other = this.extra.find((x) => x.index === e.index);
+    if (other !== undefined) {
+      this.extra = this.extra.filter((x) => x !== other);
+      this.entries.set(e.index, other);
+      return;
+    }
+    this.entries.delete(e.index);
+    if (this.state[e.index] === Task.Active) this.move(e.index, Task.Waiting);
+  }
+
   isDone(index: number): boolean {
     return ((this.done[index >> 3] ?? 0) & (1 << (index & 7))) !== 0;
   }
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -40,6 +40,8 @@
 export class Machine {
   addr: string | null = null;
   session = 0;
+  /** The session whose lease has run out. */
+  endedSession = 0;
   seq = -1;
   seenToken = 0;
   /** This term's token has been seen by the machine and a report made after that has been read. */
@@ -160,6 +162,8 @@
   /** Takes a report in; returns the commands that answer it, or null if it is from before what is known. */
   report(m: Machine, r: Report): Command[] | null {
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return null;
+    // Held back by a cut: sent in a session that is over for certain, it lists tasks that are long gone.
+    if (r.session <= m.endedSession) return null;
     if (r.session > m.session) this.newSession(m, r);
     m.seq = r.seq;
     m.seenToken = r.token;
@@ -263,7 +267,7 @@
         return;
       }
       e = this.enter(m, job, index, t.attempt, -1);
-      if (job.spec.kind === 'gang') job.gangAttempt = t.attempt;
+      if (job.spec.kind === 'gang') job.gangAttempt ??= t.attempt;
     }
     const state = t.state === 'exited' ? 'running' : t.state;
     if (state !== 'fetching') this.noteImage(m, e.job);
@@ -303,12 +307,11 @@
     };
     const old = job.entries.get(index);
     if (old !== undefined)
-      this.io.log('error', 'task on two machines', {
+      this.io.log('info', 'task listed by a second machine', {
         task: `${job.id}/${index}`,
         machines: [old.machine, m.id],
       });
-    job.entries.set(index, e);
-    if (job.state[index] !== Task.Done) job.move(index, Task.Active);
+    job.addEntry(e);
     m.entries.set(entryKey(`${job.id}/${index}`, attempt), e);
     m.usedCpus += job.spec.cpus;
     m.usedGpus += job.spec.gpus;
@@ -321,12 +324,11 @@
     const { job, index } = e;
     const key = entryKey(`${job.id}/${index}`, e.attempt);
     if (!m.entries.delete(key)) return;
-    if (job.entries.get(index) === e) job.entries.delete(index);
+    job.dropEntry(e);
     if (e.runningAt !== null) job.running--;
     m.usedCpus -= job.spec.cpus;
     m.usedGpus -= job.spec.gpus;
     m.usedMemory -= job.spec.memoryGb;
-    if (job.state[index] === Task.Active) job.move(index, Task.Waiting);
     if (job.live === 0) {
       job.gangAttempt = null;
       job.gangRan = false;
@@ -454,6 +456,7 @@
       if (m.entries.size > 0)
         this.io.log('info', 'tasks lost: lease ran out', { machine: m.id, tasks: m.entries.size });
       m.leaseEnds = NEVER;
+      m.endedSession = m.session;
       this.clear(m);
       m.synced = true;
       this.drainMachine(m, 'silent');
