--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -330,7 +330,7 @@
     if (m.drain !== null) return m.drain;
     if (!m.synced || age < MIN_AGE_MS || this.wanted.has(m.id)) return null;
     // Holding an idle machine for as long as a new one would take to get ready costs at most twice the best choice.
-    const patience = m.type.bootS * 1000 + 10_000;
+    const patience = m.type.bootS * 400;
     return now - m.idleSince > patience ? 'idle' : null;
   }
 
