--- a/src/core/fit.ts
+++ b/src/core/fit.ts
@@ -22,6 +22,8 @@
 const SIZE_BONUS = 0.3;
 /** What room for a class is worth while none of its tasks wait. */
 const NOT_WAITING = 0.3;
+/** Ordinary machines are left to fall idle, and be returned, before spot ones. */
+const DEARER = 0.1;
 
 export class Fit {
   private shapes: Shape[] = [];
@@ -83,7 +85,7 @@
 
   /** Lower is better; 1 means that the task takes room worth as much as itself. */
   score(job: Job, m: Machine): number {
-    return this.cost(job, m.type, freeRoom(m)) + this.fetchPenalty(job, m);
+    return this.cost(job, m.type, freeRoom(m)) + this.fetchPenalty(job, m) + (m.spot ? 0 : DEARER);
   }
 
   /** The same for the machine when empty: says how well its type suits. */
