--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -146,13 +146,13 @@
 test('a new owner starts nothing that may be on a machine not yet heard, and counts that machine in limits', () => {
   const w = new World();
   const team = 'small' as TeamName;
-  const { busy, idle } = idleBeside(w, () => w.submit(job('run-1', { team, tasks: 3 })));
+  const { busy, idle } = idleBeside(w, () => w.submit(job('run-1', { team, cpus: 6 })));
   w.cloud.down = true;
   for (const n of w.nodes.keys()) w.cut(busy, n, 'hold');
   const first = w.owner!;
   w.crash(first);
   const asker = [...w.nodes.keys()].find((n) => n !== first)!;
-  assert.equal(w.submit(job('run-2', { team, tasks: 3 }), asker)?.kind, 'accepted');
+  assert.equal(w.submit(job('run-2', { team, cpus: 6 }), asker)?.kind, 'accepted');
   w.run(6);
   assert.deepEqual(w.holders('run-2'), []);
   w.start(first);
