--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -7,6 +7,7 @@
 import { HOLD_MS, Leadership } from './leadership.ts';
 import { Lookup } from './lookup.ts';
 import type { PeerMessage, Report, Settings, UserAnswer, UserRequest, WorkerAnswer } from './model.ts';
+import { Relay } from './relay.ts';
 import { Share } from './share.ts';
 
 interface Forwarded {
@@ -31,6 +32,7 @@
   share: Share | null = null;
   private readonly lookup: Lookup;
   private readonly catalogue: Catalogue;
+  private readonly relay: Relay;
   private readonly peersUp = new Set<NodeId>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
@@ -41,6 +43,7 @@
     this.io = new Outbox(random);
     this.lookup = new Lookup(this.io, settings);
     this.catalogue = new Catalogue(this.io);
+    this.relay = new Relay(this.io);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
     this.leadership = new Leadership(this.io, settings.node, rank, {
       onOwned: (term) => {
@@ -125,6 +128,7 @@
     this.catalogue.tick(this.share !== null);
     this.share?.tick(this.mayCommand());
     this.lookup.tick();
+    this.relay.tick();
     this.expire();
   }
 
@@ -152,8 +156,8 @@
       return answer({ kind: 'elsewhere', node: null });
     }
     if (share !== null && this.mayCommand()) return share.report(r, answer);
-    const owner = l.owner?.node ?? null;
-    answer({ kind: 'elsewhere', node: owner === this.settings.node ? null : owner });
+    const owner = l.owner?.node === this.settings.node ? null : (l.owner?.node ?? null);
+    this.relay.report(r, owner, owner !== null && this.peersUp.has(owner), answer);
   }
 
   // ---- users
@@ -248,7 +252,17 @@
   private peer(node: NodeId, m: PeerMessage): void {
     if (m.kind === 'hello') this.leadership.heard(m.node, m.owner);
     else if (m.kind === 'ask') this.asked(node, m.id, m.request);
-    else this.replied(m.id, m.answer);
+    else if (m.kind === 'reply') this.replied(m.id, m.answer);
+    else if (m.kind === 'relay') this.passedOn(node, m.id, m.report);
+    else this.relay.relayed(m.id, m.answer);
+  }
+
+  /** A report that came by way of another node is answered like one that came directly, or not at all. */
+  private passedOn(node: NodeId, id: number, r: Report): void {
+    const reply = (answer: WorkerAnswer | null) =>
+      this.io.emit({ kind: 'peer', node, message: { kind: 'relayed', id, answer } });
+    if (this.share === null) reply(null);
+    else this.report(r, reply);
   }
 
   private asked(node: NodeId, id: number, request: UserRequest): void {
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -437,9 +437,11 @@
 
   private unrecord(m: Machine): void {
     if (m.recorded === null) return;
+    const revision = m.recorded;
+    m.recorded = null;
     const key = MACHINE + m.id;
     this.store.write({
-      conditions: [{ key, revision: m.recorded }],
+      conditions: [{ key, revision }],
       puts: [],
       drops: [key],
       check: key,
@@ -458,6 +460,8 @@
       m.leaseEnds = NEVER;
       m.endedSession = m.session;
       this.clear(m);
+      // Empty for certain: a later owner need not wait for it, and it is recorded anew if it comes back.
+      this.unrecord(m);
       m.synced = true;
       this.drainMachine(m, 'silent');
     }
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -206,7 +206,9 @@
 export type PeerMessage =
   | { kind: 'hello'; node: NodeId; owner: Revision }
   | { kind: 'ask'; id: number; request: UserRequest }
-  | { kind: 'reply'; id: number; answer: UserAnswer | null };
+  | { kind: 'reply'; id: number; answer: UserAnswer | null }
+  | { kind: 'relay'; id: number; report: Report }
+  | { kind: 'relayed'; id: number; answer: WorkerAnswer | null };
 
 export interface TimedInput {
   wall: WallTime;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,5 +1,13 @@
 // Frames between controllers: a varint-free 4-byte length, then one protobuf Envelope.
-import type { JobSpec, JobStatus, PeerMessage, UserAnswer, UserRequest } from '../core/model.ts';
+import type {
+  JobSpec,
+  JobStatus,
+  PeerMessage,
+  Report,
+  UserAnswer,
+  UserRequest,
+  WorkerAnswer,
+} from '../core/model.ts';
 import type { JobId, NodeId, Revision } from '../types/index.ts';
 import { swiftford } from './generated/peer.js';
 
@@ -32,13 +40,23 @@
   }
 }
 
+function envelopeOf(m: PeerMessage): swiftford.peer.IEnvelope {
+  switch (m.kind) {
+    case 'hello':
+      return { hello: { node: m.node, owner: m.owner } };
+    case 'ask':
+      return { ask: askFields(m.id, m.request) };
+    case 'reply':
+      return { reply: replyFields(m.id, m.answer) };
+    case 'relay':
+      return { relay: { id: m.id, report: JSON.stringify(m.report) } };
+    case 'relayed':
+      return { relayed: { id: m.id, answer: m.answer === null ? '' : JSON.stringify(m.answer) } };
+  }
+}
+
 export function encodePeer(m: PeerMessage): Buffer {
-  const envelope: swiftford.peer.IEnvelope =
-    m.kind === 'hello'
-      ? { hello: { node: m.node, owner: m.owner } }
-      : m.kind === 'ask'
-        ? { ask: askFields(m.id, m.request) }
-        : { reply: replyFields(m.id, m.answer) };
+  const envelope = envelopeOf(m);
   const body = Envelope.encode(envelope).finish();
   const frame = Buffer.allocUnsafe(4 + body.length);
   frame.writeUInt32BE(body.length, 0);
@@ -83,6 +101,12 @@
     return { kind: 'hello', node: e.hello.node as NodeId, owner: Number(e.hello.owner ?? 0) as Revision };
   if (e.ask) return { kind: 'ask', id: e.ask.id ?? 0, request: decodeAsk(e.ask) };
   if (e.reply) return { kind: 'reply', id: e.reply.id ?? 0, answer: decodeAnswer(e.reply) };
+  if (e.relay)
+    return { kind: 'relay', id: e.relay.id ?? 0, report: JSON.parse(e.relay.report ?? '') as Report };
+  if (e.relayed) {
+    const answer = e.relayed.answer ? (JSON.parse(e.relayed.answer) as WorkerAnswer) : null;
+    return { kind: 'relayed', id: e.relayed.id ?? 0, answer };
+  }
   return null;
 }
 
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -143,6 +143,8 @@
     },
     { kind: 'reply', id: 6, answer: { kind: 'retry', afterS: 1.5, reason: 'busy', overload: true } },
     { kind: 'reply', id: 7, answer: null },
+    { kind: 'relayed', id: 8, answer: { kind: 'orders', token: 9 as Token, commands: [] } },
+    { kind: 'relayed', id: 9, answer: null },
   ];
   const decoder = new PeerDecoder();
   const bytes = Buffer.concat(messages.map(encodePeer));
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,7 +1,7 @@
 // One story for each rule and for each point of docs/safety.md.
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Entry, Job } from '../src/core/jobs.ts';
+import { type Entry, Job, OPEN } from '../src/core/jobs.ts';
 import type {
   Attempt,
   Instant,
@@ -264,6 +264,57 @@
   quiet(w);
 });
 
+// The incident behind this: brazos, all machines lost at once (docs/incidents/owner-out-of-reach.md).
+test('workers that cannot reach the owner report to it through another node, and their tasks live on', () => {
+  const w = new World();
+  w.runS = 40;
+  w.submit(job('run-1', { tasks: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(3);
+  const owner = w.owner!;
+  for (const m of w.workers.keys()) w.cut(m, owner, 'drop');
+  w.run(30);
+  assert.equal(w.owner, owner);
+  assert.ok(w.until(() => w.isDone('run-1', owner), 60));
+  assert.equal(
+    [...w.workers.values()].reduce((n, x) => n + x.starts, 0),
+    8,
+  );
+  quiet(w);
+});
+
+test('a new owner that cannot read the records for a while returns nothing before machines could speak', () => {
+  const w = new World();
+  w.runS = 90;
+  w.submit(job('run-1', { tasks: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(3);
+  w.state.unreadable = OPEN;
+  for (const n of [...w.nodes.keys()]) w.crash(n);
+  w.run(5);
+  for (const n of ['node-0', 'node-1', 'node-2']) w.start(n);
+  w.run(30);
+  w.state.unreadable = null;
+  w.run(10);
+  assert.deepEqual(w.cloud.released, []);
+  assert.ok(w.holders('run-1').length > 0);
+  quiet(w);
+});
+
+test('a task that may be on an unheard machine is not started on an idle one, whatever its team', () => {
+  const w = new World();
+  const { busy } = idleBeside(w, () => w.submit(job('run-1')));
+  w.cloud.down = true;
+  for (const n of w.nodes.keys()) w.cut(busy, n, 'hold');
+  w.crash(w.owner!);
+  w.run(14);
+  assert.deepEqual(
+    w.holders('run-1').filter((m) => m !== busy),
+    [],
+  );
+  quiet(w);
+});
+
 test('done and cancelled exclude each other, and stay', () => {
   const w = new World();
   w.submit(job('run-1'));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -10,6 +10,8 @@
   /** Nodes that alone get 503. */
   readonly refused = new Set<string>();
   readonly served: StateOp[] = [];
+  /** A prefix whose lists are refused. */
+  unreadable: string | null = null;
   /** Set to lose the answer to the next commit that is executed. */
   loseNextAnswer = false;
   private holds = new Map<number, { ends: number; ttl: number }>();
@@ -40,6 +42,7 @@
 
   private serve(node: string, op: StateOp, reply: (r: StateReply) => void): void {
     if (this.down || this.refused.has(node)) return reply({ kind: 'refused', busy: false });
+    if (op.kind === 'list' && op.prefix === this.unreadable) return reply({ kind: 'refused', busy: true });
     this.expire();
     this.served.push(op);
     if (op.kind === 'watch') return this.watch(op, reply);
