--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -280,6 +280,7 @@
     [...w.workers.values()].reduce((n, x) => n + x.starts, 0),
     8,
   );
+  assert.deepEqual(w.cloud.released, []);
   quiet(w);
 });
 
