--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -156,8 +156,8 @@
       return answer({ kind: 'elsewhere', node: null });
     }
     if (share !== null && this.mayCommand()) return share.report(r, answer);
-    const owner = l.owner?.node === this.settings.node ? null : (l.owner?.node ?? null);
-    this.relay.report(r, owner, owner !== null && this.peersUp.has(owner), answer);
+    const owner = l.owner?.node === this.settings.node ? null : l.owner;
+    this.relay.report(r, owner, owner !== null && this.peersUp.has(owner.node), answer);
   }
 
   // ---- users
