--- a/src/cli/options.ts
+++ b/src/cli/options.ts
@@ -21,7 +21,7 @@
   {
     name: 'threshold',
     hcl: 'threshold',
-    default: 2,
+    default: 1,
     min: 1,
     max: 100,
     whole: true,
