--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,4 +15,4 @@
   // Loaded only when an HCL file is given: the parser is several megabytes.
   external: ['./hcl-parser.js'],
 });
-await build({ ...common, banner, entryPoints: ['src/cli/hcl-parser.ts'], outfile: 'target/hcl-parser.js' });
+await build({ ...common, banner, entryPoints: ['src/cli/hcl-parser.js'], outfile: 'target/hcl-parser.js' });
--- /dev/null
+++ b/src/cli/hcl-parser.d.ts
@@ -0,0 +1,1 @@
+export function parse(text: string): [unknown, unknown];
--- /dev/null
+++ b/src/cli/options.ts
@@ -0,0 +1,69 @@
+// Operators' own settings, in HCL. Every key, its default and its bounds stand here once.
+import * as v from 'valibot';
+import { BadSettings } from '../protocol/settings.ts';
+
+export interface Options {
+  threshold: number;
+  takeBackReports: number;
+}
+
+interface Key {
+  name: keyof Options;
+  hcl: string;
+  default: number;
+  min: number;
+  max: number;
+  whole: boolean;
+  about: string;
+}
+
+export const KEYS: Key[] = [
+  {
+    name: 'threshold',
+    hcl: 'threshold',
+    default: 2,
+    min: 1,
+    max: 100,
+    whole: true,
+    about: 'queue length below which a machine without room may be joined (r of the paper)',
+  },
+  {
+    name: 'takeBackReports',
+    hcl: 'take_back_reports',
+    default: 2,
+    min: 0.5,
+    max: 1000,
+    whole: false,
+    about: 'report periods after which a queued task moves to a machine with room',
+  },
+];
+
+export const defaults = (): Options =>
+  Object.fromEntries(KEYS.map((k) => [k.name, k.default])) as unknown as Options;
+
+const number = (k: Key) => {
+  const base = v.pipe(v.number(), v.minValue(k.min), v.maxValue(k.max));
+  return v.optional(k.whole ? v.pipe(base, v.integer()) : base, k.default);
+};
+const schema = v.strictObject({
+  dispatch: v.optional(
+    v.pipe(v.array(v.strictObject(Object.fromEntries(KEYS.map((k) => [k.hcl, number(k)])))), v.maxLength(1)),
+  ),
+});
+
+/** Reads the parsed form of an HCL file: one `dispatch` block at most, unknown names refused. */
+export function readOptions(file: string, parsed: unknown): Options {
+  const checked = v.safeParse(schema, parsed);
+  if (!checked.success) {
+    const issue = checked.issues[0];
+    const path =
+      issue.path
+        ?.map((p) => String(p.key))
+        .filter((p) => p !== '0')
+        .join('.') ?? '(whole file)';
+    const what = issue.expected === 'never' ? 'unknown name' : issue.message;
+    throw new BadSettings(`${file}: ${path}: ${what}`);
+  }
+  const block = (checked.output.dispatch?.[0] ?? {}) as Record<string, number>;
+  return Object.fromEntries(KEYS.map((k) => [k.name, block[k.hcl] ?? k.default])) as unknown as Options;
+}
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -74,6 +74,25 @@
       : this.peersUp.has(owner.node);
   }
 
+  /** What an operator asks a node about itself. */
+  describe(): Record<string, unknown> {
+    const { share, leadership: l } = this;
+    const machines = [...(share?.machines.all.values() ?? [])];
+    return {
+      node: this.settings.node,
+      owner: l.owner?.node ?? null,
+      term: l.term,
+      current: l.current,
+      peers: [...this.peersUp],
+      recovered: share?.recovery.complete ?? null,
+      stateDown: share !== null && share.store.downSince !== null,
+      writesWaiting: share?.store.backlog ?? 0,
+      jobs: share?.jobs.open.size ?? 0,
+      machines: machines.length,
+      draining: machines.filter((m) => m.drain !== null).map((m) => `${m.id}: ${m.drain}`),
+    };
+  }
+
   private take(input: Input): void {
     switch (input.kind) {
       case 'tick':
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -1,4 +1,5 @@
 // Drives the core of one controller with sockets and timers.
+import { build as buildHistogram } from 'hdr-histogram-js';
 import { Controller } from '../core/controller.ts';
 import type { DispatchSettings } from '../core/dispatch.ts';
 import type { Effect, Input } from '../core/io.ts';
@@ -43,6 +44,8 @@
   private readonly answers = new Map<number, (reply: Reply) => void>();
   private readonly peers: Peers;
   private readonly log: Log;
+  /** How late timers fire, in milliseconds. */
+  private readonly lag = buildHistogram({ bitBucketSize: 16, numberOfSignificantValueDigits: 1 });
   private nextReq = 1;
 
   constructor(
@@ -64,7 +67,13 @@
       (e) => this.log('error', 'peer address cannot be used', { error: e.message }),
     );
     this.listen();
-    setInterval(() => this.step({ kind: 'tick' }), TICK_MS);
+    let due = performance.now() + TICK_MS;
+    setInterval(() => {
+      const now = performance.now();
+      this.lag.recordValue(Math.max(0, Math.round(now - due)));
+      due = now + TICK_MS;
+      this.step({ kind: 'tick' });
+    }, TICK_MS);
     this.step({ kind: 'tick' });
   }
 
@@ -162,6 +171,7 @@
     const path = request.target.split('?', 1)[0]!;
     if (path === '/checkin') return this.only(request, 'POST', answer, () => this.onReport(request, answer));
     if (path === '/ready') return this.only(request, 'GET', answer, () => this.onReady(answer));
+    if (path === '/status') return this.only(request, 'GET', answer, () => this.onStatus(answer));
     if (path === '/work') return this.only(request, 'POST', answer, () => this.onSubmit(request, answer));
     const parts = path.split('/');
     if (parts[1] !== 'work' || parts.length > 4) return answer(refusal(404, 'no such path'));
@@ -182,6 +192,16 @@
     else answer(refusal(503, 'no controller owns the jobs yet', 1));
   }
 
+  /** For operators, beside the users' interface: figures of this process and what its core knows. */
+  private onStatus(answer: (r: Reply) => void): void {
+    const h = this.lag;
+    const process_ = {
+      rssMb: Math.round(process.memoryUsage.rss() / 1e5) / 10,
+      loopDelayMs: { p50: h.getValueAtPercentile(50), p99: h.getValueAtPercentile(99), max: h.maxValue },
+    };
+    answer({ status: 200, body: JSON.stringify({ ...this.core.describe(), process: process_ }) });
+  }
+
   private register(answer: (r: Reply) => void): number {
     const req = this.nextReq++;
     this.answers.set(req, answer);
--- /dev/null
+++ b/test/protocol.test.ts
@@ -0,0 +1,192 @@
+// Messages and settings at the edges: what is refused, what is ignored, what survives the way there and back.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { defaults, readOptions } from '../src/cli/options.ts';
+import type { PeerMessage, StateOp } from '../src/core/model.ts';
+import { formatReply } from '../src/http/server.ts';
+import { decodeCloudReply } from '../src/protocol/cloud.ts';
+import { encodeUserAnswer, InvalidMessage, parseJob } from '../src/protocol/job.ts';
+import { encodePeer, PeerDecoder } from '../src/protocol/peer.ts';
+import { parseSettings } from '../src/protocol/settings.ts';
+import { decodeStateReply, encodeStateOp } from '../src/protocol/state.ts';
+import { encodeWorkerAnswer, parseReport } from '../src/protocol/worker.ts';
+import type { Attempt, HoldId, JobId, NodeId, Revision, TaskId, Token } from '../src/types/index.ts';
+import { job } from './support/world.ts';
+
+const wireJob = {
+  nameId: 'run-000412',
+  jobclass: 'train',
+  owner: 'vision',
+  shape: 'gang',
+  urgency: 'urgent',
+  pieces: 16,
+  cores: 8.0,
+  accelerators: 1.0,
+  memoryGb: 64.0,
+  bundle: 'img-07',
+  sizeGb: 6.2,
+  berthkinds: ['g8'],
+  yard: null,
+  samePlace: true,
+  scatter: false,
+  loaners: true,
+  guessS: 240.0,
+  snapshotS: 30.0,
+  flushS: 4.0,
+  dueS: 900.0,
+};
+
+test('a job is read whole; unknown fields are ignored and null may be left out', () => {
+  const { yard: _, ...withoutYard } = { ...wireJob, colour: 'red' };
+  const spec = parseJob(withoutYard);
+  assert.equal(spec.kind, 'gang');
+  assert.equal(spec.priority, 2);
+  assert.equal(spec.zone, null);
+  assert.deepEqual(spec.types, ['g8']);
+});
+
+test('a job with a missing or invalid field is refused by the name of that field', () => {
+  const bad: [string, unknown][] = [
+    ['nameId', 'job-1'],
+    ['nameId', undefined],
+    ['shape', 'heap'],
+    ['shape', 'toString'],
+    ['urgency', 3],
+    ['pieces', 0],
+    ['pieces', 100_001],
+    ['pieces', 1.5],
+    ['cores', -1],
+    ['cores', '8'],
+    ['berthkinds', 'g8'],
+    ['samePlace', 1],
+    ['dueS', 'soon'],
+  ];
+  for (const [field, value] of bad)
+    assert.throws(
+      () => parseJob({ ...wireJob, [field]: value }),
+      (e: Error) => e instanceof InvalidMessage && e.message.startsWith(field),
+      `${field}=${String(value)}`,
+    );
+  assert.throws(() => parseJob([]), InvalidMessage);
+});
+
+test('a request to come back later carries Retry-After, in whole seconds', () => {
+  const a = encodeUserAnswer({ kind: 'retry', afterS: 1.2, reason: 'later', overload: false });
+  assert.equal(a.status, 503);
+  assert.match(formatReply(a, true), /^HTTP\/1\.1 503 .*\r\n(.*\r\n)*Retry-After: 2\r\n/);
+  assert.equal(encodeUserAnswer({ kind: 'retry', afterS: 1, reason: '', overload: true }).status, 429);
+});
+
+test('a report is read and commands are written in the words of the wire', () => {
+  const r = parseReport({
+    berth: 'i-1',
+    endpoint: '10.1.0.1:9000',
+    berthkind: 'g8',
+    yard: 'a',
+    loaners: true,
+    shift: 2,
+    tally: 7,
+    baton: 41,
+    pieces: [{ piece: 'run-1/0', try: 3, status: 'ended', cause: 'halted', stored: true }],
+  });
+  assert.deepEqual(r.tasks, [{ task: 'run-1/0', attempt: 3, state: 'exited', why: 'stopped', saved: true }]);
+  const answer = encodeWorkerAnswer({
+    kind: 'orders',
+    token: 41 as Token,
+    commands: [{ op: 'stop', task: 'run-1/0' as TaskId, attempt: 3 as Attempt, graceS: 4 }],
+  });
+  assert.deepEqual(JSON.parse(answer.body), {
+    baton: 41,
+    orders: [{ verb: 'kill', piece: 'run-1/0', try: 3, windownS: 4 }],
+  });
+  assert.deepEqual(encodeWorkerAnswer({ kind: 'elsewhere', node: 'berth-2' as NodeId }), {
+    status: 421,
+    body: '{"foreman":"berth-2"}',
+  });
+});
+
+test('replies of the state service are told apart: refused, conflicting, missing, compared', () => {
+  const op: StateOp = {
+    kind: 'commit',
+    conditions: [{ key: 'a', revision: 0 as Revision }],
+    puts: [{ key: 'a', value: 1, hold: 7 as HoldId }],
+    drops: ['b'],
+  };
+  assert.deepEqual(JSON.parse(encodeStateOp(op).body ?? ''), {
+    if: [{ key: 'a', stamp: 0 }],
+    apply: [{ set: 'a', v: 1, tenancy: 7 }, { drop: 'b' }],
+  });
+  assert.deepEqual(decodeStateReply(op, 409, { failed: ['a'], ledger: 3 }), {
+    kind: 'conflict',
+    failed: ['a'],
+  });
+  assert.deepEqual(decodeStateReply(op, 429, {}), { kind: 'refused', busy: true });
+  assert.deepEqual(decodeStateReply(op, 503, {}), { kind: 'refused', busy: false });
+  assert.equal('apply' in JSON.parse(encodeStateOp({ ...op, puts: [], drops: [] }).body ?? ''), false);
+});
+
+test('a cloud without machines is told from a cloud in trouble', () => {
+  const op = { kind: 'list' as const, after: null };
+  assert.deepEqual(decodeCloudReply(op, 503, { error: 'no capacity' }), { kind: 'no-capacity' });
+  assert.deepEqual(decodeCloudReply(op, 503, { error: 'trouble' }), { kind: 'refused', busy: false });
+});
+
+test('messages between controllers survive any cut of the stream', () => {
+  const messages: PeerMessage[] = [
+    { kind: 'hello', node: 'berth-1' as NodeId, owner: 9 as Revision },
+    { kind: 'ask', id: 5, request: { op: 'submit', spec: job('run-1', { tasks: 3 }) } },
+    { kind: 'ask', id: 6, request: { op: 'cancel', id: 'run-1' as JobId } },
+    {
+      kind: 'reply',
+      id: 5,
+      answer: { kind: 'status', id: 'run-1' as JobId, status: 'running', done: 1, running: 2 },
+    },
+    { kind: 'reply', id: 6, answer: { kind: 'retry', afterS: 1.5, reason: 'busy', overload: true } },
+    { kind: 'reply', id: 7, answer: null },
+  ];
+  const decoder = new PeerDecoder();
+  const bytes = Buffer.concat(messages.map(encodePeer));
+  assert.deepEqual(
+    [...bytes].flatMap((b) => decoder.feed(Buffer.from([b]))),
+    messages,
+  );
+});
+
+const platform = {
+  node: 'n',
+  location: 'z',
+  bind: '10.0.0.1:80',
+  internal_addr: '10.0.0.1:81',
+  outside: { cloud: '10.0.0.2:1', state: '10.0.0.3:1' },
+  params: {
+    teams: [{ name: 't' }],
+    workers: { report_s: 1, lease_s: 10, gang_wait_s: 30, gang_peer_s: 4, cancel_s: 40 },
+    state: { rps: 10, write_rps: 5, value_kb: 8, txn_ops: 24 },
+    cloud: { rps: 1, list_lag_s: 1 },
+    newer: true,
+  },
+};
+
+test('settings: unknown fields are ignored, a bad one is named with its file in one line', () => {
+  assert.equal(parseSettings('s.json', JSON.stringify(platform)).workers.leaseS, 10);
+  const bad = structuredClone(platform) as { params: { workers: { lease_s: unknown } } };
+  bad.params.workers.lease_s = 'long';
+  assert.throws(
+    () => parseSettings('s.json', JSON.stringify(bad)),
+    /^Error: s\.json: params\.workers\.lease_s: [^\n]+$/,
+  );
+  assert.throws(() => parseSettings('s.json', '{'), /s\.json: not JSON/);
+});
+
+test("operators' settings: defaults from one place, unknown names and bad values refused", () => {
+  assert.deepEqual(readOptions('o.hcl', {}), defaults());
+  assert.equal(readOptions('o.hcl', { dispatch: [{ threshold: 4 }] }).threshold, 4);
+  assert.throws(
+    () => readOptions('o.hcl', { dispatch: [{ treshold: 4 }] }),
+    /o\.hcl: dispatch\.treshold: unknown name/,
+  );
+  assert.throws(
+    () => readOptions('o.hcl', { dispatch: [{ threshold: 0 }] }),
+    /o\.hcl: dispatch\.threshold: /,
+  );
+});
--- /dev/null
+++ b/test/scheduling.test.ts
@@ -0,0 +1,114 @@
+// How work is placed: the queue rule, gangs, services, priorities, leases of idle machines.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { quantile } from '../src/core/warm.ts';
+import type { JobId, ZoneName } from '../src/types/index.ts';
+import { job, World } from './support/world.ts';
+
+const starts = (w: World) => [...w.workers.values()].reduce((n, x) => n + x.starts, 0);
+
+test('a gang starts all its parts at once, in one zone when bound to one', () => {
+  const w = new World();
+  w.runS = 10;
+  w.submit(job('run-1', { kind: 'gang', tasks: 6, cpus: 4, oneZone: true }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(2.5);
+  assert.equal(starts(w), 6);
+  const zones = new Set(w.holders('run-1').map((m) => w.workers.get(m)?.zone));
+  assert.equal(zones.size, 1);
+  assert.ok(w.until(() => w.isDone('run-1')));
+  assert.deepEqual(w.broken, []);
+});
+
+test('a waiting gang that lost a part gets a replacement under the same attempt', () => {
+  const w = new World();
+  w.runS = 30;
+  w.submit(job('run-1', { kind: 'gang', tasks: 2, cpus: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length === 2));
+  const [lost] = w.holders('run-1');
+  for (const x of w.workers.values()) for (const t of x.tasks.values()) t.state = 'waiting';
+  w.run(2);
+  w.workers.get(lost!)?.die();
+  w.workers.delete(lost!);
+  assert.ok(w.until(() => w.holders('run-1').length === 2, 60));
+  const attempts = new Set([...w.workers.values()].flatMap((x) => x.live().map((t) => t.attempt)));
+  assert.equal(attempts.size, 1);
+});
+
+test('a service keeps its replicas running until it is cancelled', () => {
+  const w = new World();
+  w.submit(job('run-1', { kind: 'service', tasks: 3, cpus: 8, zone: 'north' as ZoneName }));
+  assert.ok(w.until(() => w.holders('run-1').length === 3));
+  const [lost] = w.holders('run-1');
+  w.workers.get(lost!)?.die();
+  w.workers.delete(lost!);
+  assert.ok(w.until(() => w.holders('run-1').length === 3, 60));
+  assert.equal(w.insist({ op: 'cancel', id: 'run-1' as JobId })?.kind, 'ended');
+  w.run(10);
+  assert.deepEqual(w.holders('run-1'), []);
+});
+
+test('no machine is joined beyond the threshold; what finds no place waits in the controller', () => {
+  const w = new World();
+  w.runS = 30;
+  w.cloud.capacity = 2;
+  w.submit(job('run-1', { tasks: 50, cpus: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length === 2));
+  w.run(5);
+  const share = w.nodes.get(w.owner!)?.share;
+  for (const m of share!.machines.all.values()) assert.ok(m.queue.length <= 2, `${m.queue.length} queued`);
+  assert.equal(share!.jobs.open.get('run-1' as JobId)?.waiting, 50 - 2 - 4);
+});
+
+test('more urgent jobs go first when room is short', () => {
+  const w = new World();
+  w.runS = 3;
+  w.cloud.capacity = 1;
+  w.submit(job('run-0', { cpus: 8, tasks: 4 }));
+  w.submit(job('run-1', { cpus: 8, tasks: 4 }));
+  w.submit(job('run-2', { cpus: 8, priority: 2 }));
+  assert.ok(w.until(() => w.isDone('run-2'), 60));
+  assert.ok(!w.isDone('run-1'));
+});
+
+test('work for an idle machine starts at once, as its last report is still to be answered', () => {
+  const w = new World();
+  w.submit(job('run-1'));
+  assert.ok(w.until(() => w.isDone('run-1')));
+  w.run(0.35);
+  const before = w.now;
+  w.submit(job('run-2'));
+  assert.ok(w.until(() => w.holders('run-2').length === 1, 2));
+  assert.ok(w.now - before <= 600, `${w.now - before} ms`);
+});
+
+test('idle machines are returned, though not before the first minute is over', () => {
+  const w = new World();
+  w.submit(job('run-1'));
+  assert.ok(w.until(() => w.isDone('run-1')));
+  w.run(30);
+  assert.equal(w.cloud.released.length, 0);
+  w.run(40);
+  assert.equal(w.workers.size, 0);
+});
+
+test('a job that fails everywhere is backed off and does not empty the fleet', () => {
+  const w = new World();
+  w.submit(job('run-0', { kind: 'service', tasks: 3, cpus: 6 }));
+  assert.ok(w.until(() => w.holders('run-0').length === 3));
+  for (const m of w.workers.values()) m.faulty = true;
+  w.submit(job('run-1', { tasks: 3, cpus: 2 }));
+  w.run(60);
+  assert.ok(w.cloud.released.length <= 1, `${w.cloud.released.length} returned`);
+  assert.ok(starts(w) < 60, `${starts(w)} starts`);
+});
+
+test('the quantile that sizes spare room is right at shares the users state', () => {
+  for (const [share, z] of [
+    [0.5, 0],
+    [0.78, 0.772],
+    [0.9, 1.282],
+    [0.96, 1.751],
+  ] as const)
+    assert.ok(Math.abs(quantile(share) - z) < 0.03, `${share}: ${quantile(share)}`);
+});
