--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -1,8 +1,9 @@
 // Which jobs can never run, whatever happens: told to the user at once, with the reason.
 import type { Instant, Revision, TypeName, WallTime } from '../types/index.ts';
 import { canEverRun } from './fleet.ts';
-import { Job } from './jobs.ts';
-import type { JobSpec, MachineType, Team } from './model.ts';
+import { Job, type StoredJob } from './jobs.ts';
+import type { JobSpec, MachineType, StateLimits, Team } from './model.ts';
+import { bytesOf } from './store.ts';
 
 export function impossible(
   spec: JobSpec,
@@ -21,3 +22,15 @@
     return `the job needs ${spec.gpus * n} GPUs at once and team ${spec.team} may use ${team.gpusMax}`;
   return null;
 }
+
+/** The mark that tells writes apart, and what else may be added to a job's record. */
+const RECORD_SPARE = 96;
+
+/** A job's record is one value in the state service. */
+export function tooLarge(spec: JobSpec, limits: StateLimits): string | null {
+  const value: StoredJob = { s: spec, t: 0 as WallTime, c: 1, w: '' };
+  const bytes = bytesOf(value) + RECORD_SPARE;
+  const most = Math.floor(limits.valueKb * 1024);
+  if (bytes <= most) return null;
+  return `the job takes ${bytes} bytes on record, and a record may have ${most}: name fewer jobs or machine types`;
+}
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -38,6 +38,8 @@
   private readonly relay: Relay;
   private readonly intake: Intake;
   private readonly peersUp = new Set<NodeId>();
+  /** Connected nodes of a version that would start a job before those it awaits. */
+  private readonly oldPeers = new Set<NodeId>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
   private nextAsk = 1;
@@ -58,6 +60,7 @@
           options,
           term,
           this.catalogue,
+          this.lookup,
           () => this.mayAdopt(term),
           () => this.leadership.lose('a write found another owner'),
         );
@@ -103,6 +106,8 @@
       stateDown: share !== null && share.store.downSince !== null,
       writesWaiting: share?.store.backlog ?? 0,
       jobs: share?.jobs.open.size ?? 0,
+      olderPeers: [...this.oldPeers],
+      finalStatesToRead: share?.needs.open ?? 0,
       machines: machines.length,
       draining: machines.filter((m) => m.drain !== null).map((m) => `${m.id}: ${m.drain}`),
     };
@@ -131,6 +136,7 @@
         return this.greet(input.node);
       case 'peer-down':
         this.peersUp.delete(input.node);
+        this.oldPeers.delete(input.node);
         return this.dropForwarded(input.node);
     }
   }
@@ -186,10 +192,25 @@
     const known = this.lookup.known(id);
     if (known !== null && known.kind === 'ended')
       return once(request.op === 'submit' ? { ...known, kind: 'known' } : known);
+    if (this.tooEarlyForChains(request, once)) return;
     if (this.share !== null && this.leadership.current) return this.serve(this.share, request, once);
     this.forward(request, once);
   }
 
+  /** An owner of an earlier version would start the job at once: while there may be one, none is accepted. */
+  private tooEarlyForChains(request: UserRequest, answer: (a: UserAnswer) => void): boolean {
+    if (request.op !== 'submit' || request.spec.awaits === undefined || this.oldPeers.size === 0)
+      return false;
+    const { id } = request.spec;
+    const open = this.share?.jobs.open.has(id) ?? false;
+    if (open) return false;
+    this.lookup.ask(id, (a) => {
+      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id, status: a.status });
+      else answer(retry('not all controllers know of jobs that await others yet', 5));
+    });
+    return true;
+  }
+
   /** Answers once, and at the latest after the given time, telling the user when to come back. */
   private inTime(answer: (a: UserAnswer) => void, ms: number): (a: UserAnswer) => void {
     const t: Timed = { answer, deadline: later(this.io.now, ms) };
@@ -260,7 +281,7 @@
     this.io.emit({
       kind: 'peer',
       node,
-      message: { kind: 'hello', node: this.settings.node, owner: owner as never },
+      message: { kind: 'hello', node: this.settings.node, owner: owner as never, chains: true },
     });
   }
 
@@ -269,13 +290,22 @@
   }
 
   private peer(node: NodeId, m: PeerMessage): void {
-    if (m.kind === 'hello') this.leadership.heard(m.node, m.owner);
+    if (m.kind === 'hello') this.hello(m.node, m.owner, m.chains);
     else if (m.kind === 'ask') this.asked(node, m.id, m.request);
     else if (m.kind === 'reply') this.replied(m.id, m.answer);
     else if (m.kind === 'relay') this.passedOn(node, m.id, m.report);
     else this.relay.relayed(m.id, m.answer);
   }
 
+  private hello(node: NodeId, owner: Revision, chains: boolean): void {
+    if (chains) this.oldPeers.delete(node);
+    else if (!this.oldPeers.has(node)) {
+      this.oldPeers.add(node);
+      this.io.log('info', 'peer of an earlier version: jobs that await others are refused for now', { node });
+    }
+    this.leadership.heard(node, owner);
+  }
+
   /** A report that came by way of another node is answered like one that came directly, or not at all. */
   private passedOn(node: NodeId, id: number, r: Report): void {
     const reply = (answer: WorkerAnswer | null) =>
@@ -288,7 +318,8 @@
     const reply = (answer: UserAnswer | null) =>
       this.io.emit({ kind: 'peer', node, message: { kind: 'reply', id, answer } });
     if (this.share === null || !this.leadership.current) return reply(null);
-    this.serve(this.share, request, this.inTime(reply, SERVE_MS[request.op]));
+    const once = this.inTime(reply, SERVE_MS[request.op]);
+    if (!this.tooEarlyForChains(request, once)) this.serve(this.share, request, once);
   }
 
   private replied(id: number, answer: UserAnswer | null): void {
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -35,7 +35,7 @@
 /** Jobs that found no place in this pass: one that asks for as much or more finds none either. */
 interface Hopeless {
   kind: string;
-  spec: JobSpec;
+  job: Job;
 }
 
 export class Dispatch {
@@ -110,7 +110,7 @@
           within: this.quota.withinGuarantee(job) ? 0 : 1,
           slack: this.ordering.slackS(job, now, wall),
         });
-    out.sort((a, b) => b.job.spec.priority - a.job.spec.priority || a.within - b.within || a.slack - b.slack);
+    out.sort((a, b) => b.job.priority - a.job.priority || a.within - b.within || a.slack - b.slack);
     return out.map((x) => x.job);
   }
 
@@ -129,7 +129,7 @@
     if (rules && job.unlocated > 0) return 0;
     const kind = kindOf(job.spec);
     const gathered = [...this.gather.of(job)].length > 0;
-    if (!gathered && hopeless.some((h) => h.kind === kind && asksAsMuch(job.spec, h.spec))) {
+    if (!gathered && hopeless.some((h) => h.kind === kind && asksAsMuch(job, h.job))) {
       this.gather.want(job, Math.min(allowed, job.waiting), null);
       return 0;
     }
@@ -140,7 +140,7 @@
       const m = this.choose(job, rules);
       if (m === null) {
         this.gather.want(job, Math.min(allowed, job.waiting), null);
-        if (!rules && job.failedOn.size === 0) hopeless.push({ kind, spec: job.spec });
+        if (!rules && job.failedOn.size === 0) hopeless.push({ kind, job });
         return n;
       }
       this.enqueue(m, job, index, this.nextAttempt());
@@ -237,7 +237,7 @@
     const { job } = q;
     if (isGang(job.spec)) return false;
     const kind = kindOf(job.spec);
-    if (hopeless.some((h) => h.kind === kind && asksAsMuch(job.spec, h.spec))) return false;
+    if (hopeless.some((h) => h.kind === kind && asksAsMuch(job, h.job))) return false;
     let found = false;
     for (const pool of this.rooms.pools.values()) {
       if (!pool.admits(job.spec)) continue;
@@ -248,7 +248,7 @@
             found ||= x !== m && roomAhead(x, job);
           });
     }
-    if (!found) hopeless.push({ kind, spec: job.spec });
+    if (!found) hopeless.push({ kind, job });
     return found;
   }
 }
@@ -280,8 +280,8 @@
 /** Jobs of the same kind differ for a choice of place only in how much their tasks take. */
 const kindOf = (s: JobSpec): string => `${s.class}|${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
 
-const asksAsMuch = (s: JobSpec, than: JobSpec): boolean =>
-  s.cpus >= than.cpus && s.gpus >= than.gpus && s.memoryGb >= than.memoryGb && s.priority <= than.priority;
+const asksAsMuch = ({ spec: s, priority }: Job, { spec: than, priority: its }: Job): boolean =>
+  s.cpus >= than.cpus && s.gpus >= than.gpus && s.memoryGb >= than.memoryGb && priority <= its;
 
 export function zoneAllowed(job: Job, zone: ZoneName, used: ReadonlyMap<ZoneName, number>): boolean {
   if (job.spec.oneZone) for (const z of used.keys()) if (z !== zone) return false;
@@ -295,7 +295,7 @@
   let gpus = m.freeGpus;
   let memory = m.freeMemory;
   for (const q of m.queue) {
-    if (q.job.spec.priority >= spec.priority) continue;
+    if (q.job.priority >= job.priority) continue;
     cpus += q.job.spec.cpus;
     gpus += q.job.spec.gpus;
     memory += q.job.spec.memoryGb;
--- a/src/core/fit.ts
+++ b/src/core/fit.ts
@@ -58,7 +58,7 @@
         room: { cpus: 0, gpus: 0, memoryGb: 0 },
       };
       s.n++;
-      s.waiting ||= j.waiting + j.queued > 0;
+      s.waiting ||= j.wanting > 0;
       s.room.cpus += j.spec.cpus;
       s.room.gpus += j.spec.gpus;
       s.room.memoryGb += j.spec.memoryGb;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -257,14 +257,14 @@
   /** What is hard to place goes first: accelerators, then gangs and other large tasks. */
   private demand(): Job[] {
     const out = [...this.jobs.open.values()].filter(
-      (j) => !j.cancelled && j.waiting + j.queued > 0 && j.failedOn.size < 3,
+      (j) => !j.cancelled && j.wanting > 0 && j.failedOn.size < 3,
     );
     return out.sort(
       (a, b) =>
-        b.spec.priority - a.spec.priority ||
+        b.priority - a.priority ||
         b.spec.gpus - a.spec.gpus ||
         Number(isGang(b.spec)) - Number(isGang(a.spec)) ||
-        a.seenAt - b.seenAt,
+        a.readyAt - b.readyAt,
     );
   }
 
@@ -362,7 +362,7 @@
   /** Urgent work, and work that has used up half of the time in which it should start. */
   private pressing(job: Job): boolean {
     if (job.spec.priority >= URGENT) return true;
-    const ageS = (this.io.now - job.seenAt) / 1000;
+    const ageS = (this.io.now - job.readyAt) / 1000;
     return ageS >= this.ordering.slackS(job, this.io.now, this.io.wall);
   }
 
--- a/src/core/gather.ts
+++ b/src/core/gather.ts
@@ -74,7 +74,7 @@
 
   /** Keeps machines for tasks of the job that found no place; in one zone if the job is bound to one. */
   want(job: Job, tasks: number, zone: ZoneName | null): void {
-    if (this.io.now - job.seenAt < AFTER_MS || this.left <= 0) return;
+    if (this.io.now - job.readyAt < AFTER_MS || this.left <= 0) return;
     if (this.fit.valueOfClass(job.spec.class) < LARGER * this.fit.leastValue) return;
     const missing = Math.min(tasks - (this.ofJob.get(job)?.size ?? 0), this.left);
     if (missing <= 0) return;
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -2,12 +2,13 @@
 // that the owner would write, under the same conditions, so only one of them is ever made; the owner finds it by
 // watching the records (newcomers.ts), a later owner by reading them.
 import type { Revision } from '../types/index.ts';
-import { impossible } from './admission.ts';
+import { impossible, tooLarge } from './admission.ts';
 import type { Catalogue } from './catalogue.ts';
 import { Budget, type Outbox } from './io.ts';
 import { FINAL, OPEN, retry, type StoredJob } from './jobs.ts';
 import type { Lookup } from './lookup.ts';
 import type { JobSpec, Settings, StateReply, UserAnswer } from './model.ts';
+import { checkNeeds } from './needcheck.ts';
 
 /** Part of the region's write budget that one node may use for this. */
 const SHARE = 0.15;
@@ -31,9 +32,26 @@
 
   accept(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     // What can never run is told by the owner, who knows whether the job was accepted before.
-    if (!this.catalogue.known || impossible(spec, this.catalogue.types, this.settings.teams) !== null)
+    const { catalogue, settings } = this;
+    if (
+      !catalogue.known ||
+      impossible(spec, catalogue.types, settings.teams) !== null ||
+      tooLarge(spec, settings.state) !== null
+    )
       return answer(retry('no controller can take this at the moment'));
     if (!this.budget.take(this.io.now)) return answer(retry('too many submissions at once', 2, true));
+    if (spec.awaits === undefined) this.write(spec, answer);
+    else
+      checkNeeds(
+        spec,
+        () => null,
+        this.lookup,
+        answer,
+        () => this.write(spec, answer),
+      );
+  }
+
+  private write(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const value: StoredJob = { s: spec, t: this.io.wall, w: `${this.nonceBase}.${++this.made}` };
     const conditions = [OPEN, FINAL].map((p) => ({ key: p + spec.id, revision: 0 as Revision }));
     this.io.state(
@@ -49,9 +67,6 @@
       return answer({ kind: 'accepted', id: spec.id });
     }
     if (r.kind !== 'conflict') return answer(retry('the state service does not answer'));
-    this.lookup.ask(spec.id, (a) => {
-      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
-      else answer(retry('the job is changing'));
-    });
+    this.lookup.asKnown(spec.id, answer);
   }
 }
--- a/src/core/io.ts
+++ b/src/core/io.ts
@@ -45,7 +45,7 @@
 export class Budget {
   private level: number;
   private at: Instant | null = null;
-  private readonly perS: number;
+  private perS: number;
   private readonly burst: number;
   constructor(perS: number, burst: number) {
     this.perS = perS;
@@ -53,6 +53,11 @@
     this.level = burst;
   }
 
+  /** The rate from now on. */
+  set rate(perS: number) {
+    this.perS = perS;
+  }
+
   take(now: Instant, n = 1): boolean {
     if (this.at !== null)
       this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.perS);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -11,9 +11,9 @@
   type ZoneName,
 } from '../types/index.ts';
 import type { Outbox } from './io.ts';
-import type { Condition, Item, JobSpec, JobStatus, Put, UserAnswer } from './model.ts';
+import type { Condition, Item, JobSpec, JobStatus, Priority, Put, UserAnswer } from './model.ts';
 import type { Progress } from './progress.ts';
-import { Priorities, type Store, type WriteResult } from './store.ts';
+import { bytesOf, Priorities, type Store, type WriteResult } from './store.ts';
 
 export const OPEN = 'o/';
 export const FINAL = 'f/';
@@ -50,6 +50,22 @@
   w: string;
 }
 
+export interface FinalRecord {
+  s: 'done' | 'cancelled';
+  w: string;
+  /** Wall time of the end; versions before 0.2 do not write it. */
+  t?: WallTime;
+}
+
+/** Who follows how jobs come and go for the sake of those that await them; see needs.ts. */
+export interface JobsWatcher {
+  isNeeded(id: JobId): boolean;
+  opened(job: Job): void;
+  /** Its cancellation is on record. */
+  spread(job: Job): void;
+  closed(job: Job, status: 'done' | 'cancelled', at: WallTime): void;
+}
+
 export class Job {
   readonly state: Uint8Array;
   readonly done: Uint8Array;
@@ -88,6 +104,17 @@
   gangAttempt: Attempt | null = null;
   gangRan = false;
   afterEnd: (() => void)[] = [];
+  /** It awaits jobs that are not known to be done on record: nothing of it may start, and it counts nowhere. */
+  blocked: boolean;
+  /** Those jobs; see needs.ts. */
+  readonly needs = new Set<JobId>();
+  /** From when its waits count: when the last job that it needs was done, else its acceptance. */
+  readyWall: WallTime;
+  readyAt: Instant;
+  /** Its own priority, or the highest of the jobs that need it. */
+  priority: Priority;
+  /** Wall time by which it must be done for the jobs that need it to meet their deadlines. */
+  dueBy = Number.POSITIVE_INFINITY;
 
   constructor(
     readonly spec: JobSpec,
@@ -98,6 +125,10 @@
     waitingJobs: Set<Job> | null = null,
   ) {
     this.waitingJobs = waitingJobs;
+    this.blocked = (spec.awaits ?? []).length > 0;
+    this.readyWall = acceptedAt;
+    this.readyAt = seenAt;
+    this.priority = spec.priority;
     this.state = new Uint8Array(spec.tasks).fill(unlocated ? Task.Unlocated : Task.Waiting);
     this.done = new Uint8Array(Math.ceil(spec.tasks / 8));
     if (unlocated) {
@@ -139,13 +170,25 @@
   private count(s: Task, by: number): void {
     if (s === Task.Waiting) {
       this.waiting += by;
-      if (this.waiting > 0 && !this.over) this.waitingJobs?.add(this);
+      if (this.waiting > 0 && !this.over && !this.blocked) this.waitingJobs?.add(this);
       else this.waitingJobs?.delete(this);
     } else if (s === Task.Unlocated) this.unlocated += by;
     else if (s === Task.Queued) this.queued += by;
     else if (s === Task.Done) this.doneCount += by;
   }
 
+  /** All that it awaits is done on record. */
+  unblock(now: Instant): void {
+    this.blocked = false;
+    this.readyAt = now;
+    if (this.waiting > 0 && !this.over) this.waitingJobs?.add(this);
+  }
+
+  /** Tasks that wait for a place, or for one that is taken to come free. */
+  get wanting(): number {
+    return this.blocked ? 0 : this.waiting + this.queued;
+  }
+
   addEntry(e: Entry): void {
     if (this.entries.has(e.index)) this.extra.push(e);
     else this.entries.set(e.index, e);
@@ -211,6 +254,7 @@
 
 interface Final {
   status: 'done' | 'cancelled';
+  at: WallTime;
 }
 
 export class Jobs {
@@ -222,6 +266,7 @@
   private readonly io: Outbox;
   private readonly store: Store;
   private readonly progress: Progress;
+  watcher: JobsWatcher | null = null;
   onAccepted: (job: Job) => void = () => {};
   /** A job ended: take its tasks out of queues. */
   onEnded: (job: Job) => void = () => {};
@@ -248,15 +293,20 @@
     job.cancelled = v.c === 1;
     this.open.set(id, job);
     this.io.log('info', 'job taken over from another node', { job: id });
-    this.onAccepted(job);
+    this.opened(job);
+  }
+
+  private opened(job: Job): void {
+    this.watcher?.opened(job);
+    if (!job.cancelled) this.onAccepted(job);
   }
 
   final(id: JobId): Final | null {
     return this.finals.get(id) ?? null;
   }
 
-  rememberFinal(id: JobId, status: 'done' | 'cancelled'): void {
-    this.finals.set(id, { status });
+  rememberFinal(id: JobId, status: 'done' | 'cancelled', at: WallTime = 0 as WallTime): void {
+    this.finals.set(id, { status, at });
     if (this.finals.size <= FINALS_KEPT) return;
     for (const oldest of this.finals.keys()) {
       this.finals.delete(oldest);
@@ -295,12 +345,21 @@
       const job = new Job(spec, r.revision, acceptedAt, this.io.now, false, this.waiting);
       this.open.set(spec.id, job);
       this.io.log('debug', 'job accepted', { job: spec.id, class: spec.class, tasks: spec.tasks });
-      this.onAccepted(job);
+      this.opened(job);
       for (const w of waiters) w({ kind: 'accepted', id: spec.id });
     } else if (r.kind === 'conflict' && r.item !== null) {
       // Another node took it in at the same moment.
       this.adopt(r.item);
-      for (const w of waiters) w({ kind: 'known', id: spec.id, status: 'queued' });
+      const job = this.open.get(spec.id);
+      const told = job !== undefined && (job.cancelled || !job.blocked);
+      for (const w of waiters)
+        w(
+          told
+            ? { kind: 'known', id: spec.id, status: job.status() }
+            : retry('the job is being taken over from another node'),
+        );
+    } else if (r.kind === 'rejected') {
+      for (const w of waiters) w(retry('the state service does not take the record'));
     } else if (r.kind === 'conflict') {
       // The job is known from before: its final state is on record.
       this.readFinal(spec.id, (a) => {
@@ -312,8 +371,8 @@
   readFinal(id: JobId, answer: (a: UserAnswer) => void): void {
     this.io.state({ kind: 'get', key: FINAL + id }, (r) => {
       if (r.kind === 'item') {
-        const status = (r.item.value as { s: 'done' | 'cancelled' }).s;
-        this.rememberFinal(id, status);
+        const { s: status, t } = r.item.value as FinalRecord;
+        this.rememberFinal(id, status, t);
         answer({ kind: 'ended', id, status });
       } else if (r.kind === 'missing') answer({ kind: 'not-found' });
       else answer(retry('the state service does not answer'));
@@ -329,7 +388,7 @@
     }
     job.writing = true;
     const nonce = this.store.nonce();
-    const value: StoredJob = { s: job.spec, t: job.acceptedAt, c: 1, w: nonce };
+    const value = this.cancelMark(job, nonce);
     this.store.write({
       conditions: [{ key: OPEN + job.id, revision: job.revision }],
       puts: [{ key: OPEN + job.id, value }],
@@ -344,12 +403,21 @@
         job.cancelled = true;
         this.io.log('info', 'job cancelled', { job: job.id });
         this.onEnded(job);
+        this.watcher?.spread(job);
         answer({ kind: 'ended', id: job.id, status: 'cancelled' });
         this.runAfter(job);
       },
     });
   }
 
+  /** A record from before the limits fell may be too large to write again; a cancelled job needs no lists. */
+  private cancelMark(job: Job, nonce: string): StoredJob {
+    const value: StoredJob = { s: job.spec, t: job.acceptedAt, c: 1, w: nonce };
+    if (bytesOf(value) <= this.store.maxValue) return value;
+    const { awaits: _, ...rest } = job.spec;
+    return { ...value, s: { ...rest, types: null } };
+  }
+
   private cancelAgain(job: Job, answer: (a: UserAnswer) => void): void {
     const final = this.finals.get(job.id);
     if (final !== undefined) answer({ kind: 'ended', id: job.id, status: final.status });
@@ -391,31 +459,33 @@
     const nonce = this.store.nonce();
     const conditions: Condition[] = [{ key: OPEN + job.id, revision: job.revision }];
     const drops = [OPEN + job.id];
-    const puts: Put[] = [{ key: FINAL + job.id, value: { s: status, w: nonce } }];
+    const value: FinalRecord = { s: status, w: nonce, t: this.io.wall };
+    const puts: Put[] = [{ key: FINAL + job.id, value }];
     this.store.write({
       conditions,
       puts,
       drops,
       check: FINAL + job.id,
       nonce,
-      priority: Priorities.final,
+      priority: this.watcher?.isNeeded(job.id) ? Priorities.needed : Priorities.final,
       done: (r) => {
         job.writing = false;
         job.finishing = false;
-        if (r.kind === 'ok') this.close(job, status);
+        if (r.kind === 'ok') this.close(job, status, value.t!);
         else this.io.log('info', 'final state not written', { job: job.id, result: r.kind });
       },
     });
   }
 
-  private close(job: Job, status: 'done' | 'cancelled'): void {
+  private close(job: Job, status: 'done' | 'cancelled', at: WallTime): void {
     job.over = true;
     this.open.delete(job.id);
     this.waiting.delete(job);
     this.progress.drop(job);
-    this.rememberFinal(job.id, status);
+    this.rememberFinal(job.id, status, at);
     this.io.log('debug', 'job over', { job: job.id, status });
     this.onEnded(job);
+    this.watcher?.closed(job, status, at);
     this.runAfter(job);
   }
 }
--- a/src/core/lookup.ts
+++ b/src/core/lookup.ts
@@ -1,8 +1,8 @@
 // Jobs this node does not hold: read from the state service, many names in one compare-only transaction.
 import type { JobId, Revision } from '../types/index.ts';
 import { Budget, type Outbox } from './io.ts';
-import { FINAL, OPEN, retry } from './jobs.ts';
-import type { Settings, StateReply, UserAnswer } from './model.ts';
+import { FINAL, type FinalRecord, OPEN, retry, type StoredJob } from './jobs.ts';
+import type { Condition, Settings, StateReply, UserAnswer } from './model.ts';
 
 interface Waiting {
   id: JobId;
@@ -11,6 +11,8 @@
 const MAX_WAITING = 300;
 /** Part of the region's state requests that one node may use for look-ups. */
 const SHARE = 0.15;
+/** Jobs read for one question about a job that awaits others. */
+const MAX_DERIVED = 50;
 
 export class Lookup {
   private waiting: Waiting[] = [];
@@ -55,11 +57,7 @@
     if (this.busy || this.waiting.length === 0 || !this.budget.take(this.io.now)) return;
     this.busy = true;
     const batch = this.waiting.splice(0, this.perBatch);
-    const none = 0 as Revision;
-    const conditions = batch.flatMap((w) => [
-      { key: OPEN + w.id, revision: none },
-      { key: FINAL + w.id, revision: none },
-    ]);
+    const conditions = batch.flatMap((w) => neither(w.id));
     this.io.state(
       { kind: 'commit', conditions, puts: [], drops: [] },
       (r) => this.onCompared(batch, r),
@@ -86,7 +84,7 @@
       const a: UserAnswer = {
         kind: 'ended',
         id: w.id,
-        status: (r.item.value as { s: 'done' | 'cancelled' }).s,
+        status: (r.item.value as FinalRecord).s,
       };
       this.remember(a);
       w.answer(a);
@@ -96,11 +94,105 @@
   private readOpen(w: Waiting): void {
     this.io.state({ kind: 'get', key: OPEN + w.id }, (r) => {
       if (r.kind === 'item') {
-        const cancelled = (r.item.value as { c?: 1 }).c === 1;
-        if (cancelled) w.answer({ kind: 'ended', id: w.id, status: 'cancelled' });
-        else w.answer({ kind: 'status', id: w.id, status: 'queued', done: 0, running: 0 });
+        const v = r.item.value as StoredJob;
+        if (v.c === 1) w.answer({ kind: 'ended', id: w.id, status: 'cancelled' });
+        else this.derive(w, v.s.awaits ?? []);
       } else if (r.kind === 'missing') this.readFinal(w);
       else w.answer(retry('the state service does not answer'));
     });
   }
+
+  /**
+   * A job that awaits others is cancelled when any of them is, through any number of others, though its own record
+   * does not say so. That none was cancelled when looked at, later than the job's own record, makes `queued` true.
+   */
+  private derive(w: Waiting, awaits: JobId[]): void {
+    const seen = new Set(awaits);
+    const todo = [...seen];
+    let reads = 0;
+    const next = (): void => {
+      const id = todo.pop();
+      if (id === undefined)
+        return w.answer({ kind: 'status', id: w.id, status: 'queued', done: 0, running: 0 });
+      if (++reads > MAX_DERIVED || !this.budget.take(this.io.now))
+        return w.answer(retry('the jobs that it awaits are being read', 2));
+      this.readNeed(id, (n) => {
+        if (n === null) return w.answer(retry('the state service does not answer'));
+        if (n === 'cancelled') return this.cancelled(w);
+        for (const a of n === 'done' ? [] : n)
+          if (!seen.has(a)) {
+            seen.add(a);
+            todo.push(a);
+          }
+        next();
+      });
+    };
+    next();
+  }
+
+  private cancelled(w: Waiting): void {
+    const a: UserAnswer = { kind: 'ended', id: w.id, status: 'cancelled' };
+    this.remember(a);
+    w.answer(a);
+  }
+
+  /** Done, cancelled, or what it awaits in turn; the final record first, so that none is missed between the two. */
+  private readNeed(id: JobId, then: (n: 'done' | 'cancelled' | JobId[] | null) => void, again = true): void {
+    this.io.state({ kind: 'get', key: FINAL + id }, (f) => {
+      if (f.kind === 'item') return then((f.item.value as FinalRecord).s);
+      if (f.kind !== 'missing') return then(null);
+      this.io.state({ kind: 'get', key: OPEN + id }, (o) => {
+        if (o.kind === 'item') {
+          const v = o.item.value as StoredJob;
+          then(v.c === 1 ? 'cancelled' : (v.s.awaits ?? []));
+        } else if (o.kind === 'missing' && again) this.readNeed(id, then, false);
+        else then(null);
+      });
+    });
+  }
+
+  /** Which of the jobs were ever accepted, as the state service says; null when that cannot be known now. */
+  exist(ids: JobId[], then: (found: Map<JobId, 'open' | 'over'> | null) => void): void {
+    const found = new Map<JobId, 'open' | 'over'>();
+    const compare = (from: number): void => {
+      const batch = ids.slice(from, from + this.perBatch);
+      if (batch.length === 0) return then(found);
+      if (!this.budget.take(this.io.now)) return then(null);
+      this.io.state({ kind: 'commit', conditions: batch.flatMap(neither), puts: [], drops: [] }, (r) => {
+        if (r.kind !== 'committed' && r.kind !== 'conflict') return then(null);
+        const there = new Set(r.kind === 'conflict' ? r.failed : []);
+        for (const id of batch) {
+          if (there.has(FINAL + id)) found.set(id, 'over');
+          else if (there.has(OPEN + id)) found.set(id, 'open');
+        }
+        compare(from + batch.length);
+      });
+    };
+    compare(0);
+  }
+
+  /** The first service among open jobs, null if there is none. */
+  services(ids: JobId[], then: (id: JobId | 'unclear' | null) => void): void {
+    const [id, ...rest] = ids;
+    if (id === undefined) return then(null);
+    if (!this.budget.take(this.io.now)) return then('unclear');
+    this.io.state({ kind: 'get', key: OPEN + id }, (r) => {
+      // What is no longer open was no service, or was cancelled.
+      if (r.kind === 'item' && (r.item.value as StoredJob).s.kind === 'service') then(id);
+      else if (r.kind === 'item' || r.kind === 'missing') this.services(rest, then);
+      else then('unclear');
+    });
+  }
+
+  /** Answers a submission of a job that is on record already. */
+  asKnown(id: JobId, answer: (a: UserAnswer) => void): void {
+    this.ask(id, (a) => {
+      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id, status: a.status });
+      else answer(a.kind === 'retry' ? a : retry('the job is changing'));
+    });
+  }
 }
+
+/** True of a job that was never accepted. */
+const neither = (id: JobId): Condition[] =>
+  [OPEN, FINAL].map((prefix) => ({ key: prefix + id, revision: 0 as Revision }));
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -243,7 +243,7 @@
   /** Binds a task to the machine's queue: more urgent tasks go ahead; among equals first come, first served. */
   enqueue(m: Machine, q: Queued): void {
     let at = m.queue.length;
-    while (at > 0 && m.queue[at - 1]!.job.spec.priority < q.job.spec.priority) at--;
+    while (at > 0 && m.queue[at - 1]!.job.priority < q.job.priority) at--;
     m.queue.splice(at, 0, q);
     q.job.move(q.index, Task.Queued);
     this.countQueued(m, q.job, 1);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -39,6 +39,16 @@
   checkpointS: number;
   saveS: number;
   deadlineS: number | null;
+  /** Jobs that must be done before any task of this one starts; absent when there are none, as in older records. */
+  awaits?: JobId[];
+}
+
+/** Limits of the state service: the larger until it grants no more, the smaller for all that is written. */
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
 }
 
 export interface MachineType {
@@ -83,7 +93,10 @@
   teams: Team[];
   objectives: Objective[];
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
-  state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  /** What is safe to use from the start: the smaller of the limits now and those to come. */
+  state: StateLimits;
+  /** The rate of changes granted until the limits to come are in force. */
+  writeRpsNow: number;
   cloud: { rps: number; listLagS: number };
   sockets: number;
 }
@@ -122,9 +135,11 @@
 export type UserAnswer =
   | { kind: 'accepted'; id: JobId }
   | { kind: 'known'; id: JobId; status: JobStatus }
-  | { kind: 'status'; id: JobId; status: JobStatus; done: number; running: number }
+  | { kind: 'status'; id: JobId; status: JobStatus; done: number; running: number; awaits?: JobId[] }
   | { kind: 'ended'; id: JobId; status: 'done' | 'cancelled' }
   | { kind: 'impossible'; reason: string }
+  /** Larger than a record may be. */
+  | { kind: 'too-large'; reason: string }
   | { kind: 'not-found' }
   | { kind: 'retry'; afterS: number; reason: string; overload: boolean };
 
@@ -204,7 +219,8 @@
 export type WorkerReply = { kind: 'report'; report: Report; executed: boolean } | { kind: 'no-answer' };
 
 export type PeerMessage =
-  | { kind: 'hello'; node: NodeId; owner: Revision }
+  /** `chains`: the sender knows of jobs that await others; versions before 0.2 do not say. */
+  | { kind: 'hello'; node: NodeId; owner: Revision; chains: boolean }
   | { kind: 'ask'; id: number; request: UserRequest }
   | { kind: 'reply'; id: number; answer: UserAnswer | null }
   | { kind: 'relay'; id: number; report: Report }
--- /dev/null
+++ b/src/core/needcheck.ts
@@ -0,0 +1,44 @@
+// Whether the jobs that a new one awaits were ever accepted: the one place that decides, for the owner and for a
+// node that takes a job in without it. "Never" is shown by the state service alone: a job may have been accepted a
+// moment ago by another node, or be long over.
+import type { JobId } from '../types/index.ts';
+import { retry } from './jobs.ts';
+import type { Lookup } from './lookup.ts';
+import type { JobKind, JobSpec, UserAnswer } from './model.ts';
+
+/** What the asking node knows for certain of a job: its kind, that it is over, or nothing. */
+export type Known = (id: JobId) => JobKind | 'over' | null;
+
+export function checkNeeds(
+  spec: JobSpec,
+  known: Known,
+  lookup: Lookup,
+  answer: (a: UserAnswer) => void,
+  accept: () => void,
+): void {
+  const others = (spec.awaits ?? []).filter((id) => id !== spec.id);
+  const itself = others.length < (spec.awaits ?? []).length;
+  const unknown = others.filter((id) => known(id) === null);
+  const service = others.find((id) => known(id) === 'service');
+  if (!itself && unknown.length === 0 && service === undefined) return accept();
+  lookup.exist([spec.id, ...unknown], (found) => {
+    if (found === null) return answer(retry('what the job awaits cannot be checked at the moment'));
+    if (found.has(spec.id)) return lookup.asKnown(spec.id, answer);
+    if (itself) return answer({ kind: 'impossible', reason: `${spec.id} awaits itself` });
+    const missing = unknown.find((id) => !found.has(id));
+    if (missing !== undefined)
+      return answer({ kind: 'impossible', reason: `${missing}, which the job awaits, was never accepted` });
+    if (service !== undefined) return answer(endless(service));
+    const open = unknown.filter((id) => found.get(id) === 'open');
+    lookup.services(open, (s) => {
+      if (s === 'unclear') answer(retry('what the job awaits cannot be checked at the moment'));
+      else if (s !== null) answer(endless(s));
+      else accept();
+    });
+  });
+}
+
+const endless = (id: JobId): UserAnswer => ({
+  kind: 'impossible',
+  reason: `${id}, which the job awaits, is a service and never done`,
+});
--- a/src/core/order.ts
+++ b/src/core/order.ts
@@ -40,18 +40,23 @@
     }
   }
 
-  /** Seconds after submission by which the job's tasks should start, one for each aim, earliest first. */
+  /**
+   * Seconds after submission by which the job's tasks should start, one for each aim, earliest first. Waits count
+   * from when the job became ready; deadlines, its own and those of jobs that need it, from submission.
+   */
   startBy(job: Job): number[] {
     const run = this.estimates.runS(job);
+    const ready = (job.readyWall - job.acceptedAt) / 1000;
     const out: number[] = [];
     for (const o of this.byClass.get(job.spec.class) ?? []) {
-      if (o.kind === 'wait' && o.withinS !== null) out.push(o.withinS);
-      if (o.kind === 'finished' && o.withinS !== null) out.push(o.withinS - run);
+      if (o.kind === 'wait' && o.withinS !== null) out.push(ready + o.withinS);
+      if (o.kind === 'finished' && o.withinS !== null) out.push(ready + o.withinS - run);
       if (o.kind === 'deadline' && job.spec.deadlineS !== null)
         out.push(job.spec.deadlineS * (o.times ?? 1) - run);
     }
+    if (Number.isFinite(job.dueBy)) out.push((job.dueBy - job.acceptedAt) / 1000 - run);
     if (out.length === 0)
-      out.push(job.spec.deadlineS === null ? DEFAULT_PATIENCE_S : job.spec.deadlineS - run);
+      out.push(job.spec.deadlineS === null ? ready + DEFAULT_PATIENCE_S : job.spec.deadlineS - run);
     return out.sort((a, b) => a - b);
   }
 
--- a/src/core/page.ts
+++ b/src/core/page.ts
@@ -3,7 +3,7 @@
 import type { Revision } from '../types/index.ts';
 import type { Store } from './store.ts';
 
-/** Layout of the values; a record of another version is refused, see recovery.ts. */
+/** Layout of the values, read and written by versions from 0.1 on that may serve side by side; a record of another version is refused, see recovery.ts. */
 export const PAGE_VERSION = 1;
 
 export class Page {
@@ -32,6 +32,7 @@
       done: (r) => {
         this.writing = false;
         if (r.kind === 'ok') this.revision = value === null ? (0 as Revision) : r.revision;
+        // Rejected, or the term is lost: nothing has changed on record.
         else if (r.kind === 'conflict') this.revision = r.item?.revision ?? (0 as Revision);
         done(r.kind === 'ok');
       },
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -31,6 +31,8 @@
   /** What was on record later than this has not been read. */
   jobsReadAt = 0 as Revision;
   onComplete: () => void = () => {};
+  /** All jobs on record are known. */
+  onJobs: () => void = () => {};
   private step: 'types' | 'jobs' | 'bits' | 'machines' = 'types';
   private busy = false;
   private retryAt: Instant = LONG_AGO;
@@ -103,8 +105,10 @@
       this.busy = false;
       this.load();
     } else if (this.step === 'types') this.afterTypes();
-    else if (this.step === 'jobs') this.next('bits');
-    else if (this.step === 'bits') this.next('machines');
+    else if (this.step === 'jobs') {
+      this.onJobs();
+      this.next('bits');
+    } else if (this.step === 'bits') this.next('machines');
     else this.finishLoading();
   }
 
@@ -137,7 +141,7 @@
     this.unreadable = true;
   }
 
-  private takeMachine(r: RosterMachine, page: RosterPage): void {
+  private takeMachine(r: RosterMachine, page: RosterPage): Machine {
     // A type no longer offered still counts, as if it held everything, until the machine is settled.
     const type = this.catalogue.types.get(r.type) ?? vanishedType(r.type);
     // Whoever owned the share before stops answering in time for the first (see docs/safety.md);
@@ -147,6 +151,7 @@
     const m = this.machines.newMachine(r.id, type, r.zone, r.spot, leaseEnds);
     m.page = page;
     this.machines.touch(m);
+    return m;
   }
 
   private finishLoading(): void {
@@ -171,7 +176,7 @@
   }
 
   private machinesBlockWork(): boolean {
-    for (const j of this.jobs.open.values()) if (j.unlocated > 0) return true;
+    for (const j of this.jobs.open.values()) if (j.unlocated > 0 && !j.blocked) return true;
     return false;
   }
 
--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -10,17 +10,17 @@
 } from '../types/index.ts';
 import type { Outbox } from './io.ts';
 import type { Machine } from './machines.ts';
-import type { Item, Settings } from './model.ts';
+import type { Item } from './model.ts';
 import { Page } from './page.ts';
-import { Priorities, type Store } from './store.ts';
+import { bytesOf, Priorities, type Store } from './store.ts';
 
 export const MACHINE = 'm/';
 /** Pages are begun no more often than this; machines that come up meanwhile share the next. */
 const GATHER_MS = 200;
 /** Machines that are gone leave their page within this. */
 const TIDY_MS = 1000;
-/** More than the JSON of one machine takes, with its names. */
-const BYTES_EACH = 96;
+/** A page's own part of the value. */
+const OVERHEAD = 128;
 
 type Line = [MachineId, TypeName, ZoneName, 0 | 1];
 
@@ -31,9 +31,16 @@
   spot: boolean;
 }
 
+interface Member {
+  line: Line;
+  machine: Machine;
+}
+
 export class RosterPage {
-  readonly members = new Map<MachineId, Line>();
+  readonly members = new Map<MachineId, Member>();
   dirtySince: Instant | null = null;
+  /** A page that takes over a part of this one is being written. */
+  splitting = false;
   constructor(readonly page: Page) {}
 }
 
@@ -42,24 +49,24 @@
   private gathering: Machine[] = [];
   private begunAt: Instant = LONG_AGO;
   private made = 0;
-  private readonly perPage: number;
+  private readonly room: number;
   private readonly io: Outbox;
   private readonly store: Store;
   private readonly term: Revision;
   onRecorded: (m: Machine) => void = () => {};
 
-  constructor(io: Outbox, store: Store, limits: Settings['state'], term: Revision) {
+  constructor(io: Outbox, store: Store, term: Revision) {
     this.io = io;
     this.store = store;
     this.term = term;
-    this.perPage = Math.max(1, Math.floor((limits.valueKb * 1024 - 256) / BYTES_EACH));
+    this.room = store.maxValue - OVERHEAD;
   }
 
   /** A page of an earlier term; tells its machines, but those already known from another page. */
   load(
     item: Item,
     known: (id: MachineId) => boolean,
-    found: (m: RosterMachine, page: RosterPage) => void,
+    found: (m: RosterMachine, page: RosterPage) => Machine,
   ): void {
     const p = new RosterPage(new Page(this.store, item.key, item.revision));
     this.pages.add(p);
@@ -69,8 +76,7 @@
         p.dirtySince = this.io.now;
         continue;
       }
-      p.members.set(id, line);
-      found({ id, type, zone, spot: spot === 1 }, p);
+      p.members.set(id, { line, machine: found({ id, type, zone, spot: spot === 1 }, p) });
     }
   }
 
@@ -99,27 +105,74 @@
   private begin(): void {
     if (this.gathering.length === 0 || this.io.now - this.begunAt < GATHER_MS) return;
     this.begunAt = this.io.now;
-    const batch = this.gathering.splice(0, this.perPage);
-    const p = new RosterPage(new Page(this.store, `${MACHINE}${this.term}.${++this.made}`, 0 as Revision));
-    for (const m of batch) p.members.set(m.id, [m.id, m.type.name, m.zone, m.spot ? 1 : 0]);
-    this.pages.add(p);
-    p.page.write({ m: [...p.members.values()] }, Priorities.roster, (ok) => {
-      for (const m of batch) {
-        m.recording = false;
+    const all = this.gathering.map((machine) => ({ line: lineOf(machine), machine }));
+    const batch = this.upToRoom(all);
+    this.gathering.splice(0, batch.length);
+    this.make(batch, Priorities.roster, (ok, p) => {
+      for (const { machine } of batch) {
+        machine.recording = false;
         if (!ok) continue;
-        m.page = p;
-        this.onRecorded(m);
+        machine.page = p;
+        this.onRecorded(machine);
       }
+    });
+  }
+
+  /** As many as one value holds, by what they take; at least one. */
+  private upToRoom(members: Member[]): Member[] {
+    let bytes = 0;
+    const n = members.findIndex((m, i) => {
+      bytes += bytesOf(m.line) + 1;
+      return i > 0 && bytes > this.room;
+    });
+    return n < 0 ? members : members.slice(0, n);
+  }
+
+  private make(batch: Member[], priority: number, done: (ok: boolean, p: RosterPage) => void): void {
+    const p = new RosterPage(new Page(this.store, `${MACHINE}${this.term}.${++this.made}`, 0 as Revision));
+    for (const m of batch) p.members.set(m.machine.id, m);
+    this.pages.add(p);
+    p.page.write(recordOf(p), priority, (ok) => {
       if (!ok) this.pages.delete(p);
+      done(ok, p);
+    });
+  }
+
+  /**
+   * A page of an earlier term may be larger than a value may be by now: a part of it is put on record elsewhere
+   * before it is written without that part, so that no machine is missing in between.
+   */
+  private split(p: RosterPage, keep: number): void {
+    p.splitting = true;
+    const rest = this.upToRoom([...p.members.values()].slice(keep));
+    this.make(rest, Priorities.record, (ok, heir) => {
+      p.splitting = false;
+      p.dirtySince = this.io.now;
+      if (!ok) return;
+      for (const { machine } of rest) {
+        // Emptied for certain meanwhile: it leaves the new page as it left the old one.
+        if (p.members.delete(machine.id)) machine.page = heir;
+        else {
+          heir.members.delete(machine.id);
+          heir.dirtySince ??= this.io.now;
+        }
+      }
     });
   }
 
   private rewrite(p: RosterPage): void {
+    if (p.splitting) return;
+    const keep = this.upToRoom([...p.members.values()]).length;
+    if (keep < p.members.size) return this.split(p, keep);
     p.dirtySince = null;
     const empty = p.members.size === 0;
-    p.page.write(empty ? null : { m: [...p.members.values()] }, Priorities.record, (ok) => {
+    p.page.write(empty ? null : recordOf(p), Priorities.record, (ok) => {
       if (!ok) p.dirtySince ??= this.io.now;
       else if (empty && p.members.size === 0) this.pages.delete(p);
     });
   }
 }
+
+const lineOf = (m: Machine): Line => [m.id, m.type.name, m.zone, m.spot ? 1 : 0];
+
+const recordOf = (p: RosterPage): { m: Line[] } => ({ m: [...p.members.values()].map((m) => m.line) });
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -1,6 +1,6 @@
 // What the owner of the share does during one term. A new term starts with a new one of these.
 import { type Instant, LONG_AGO, later, type MachineId, NEVER, type Revision } from '../types/index.ts';
-import { impossible } from './admission.ts';
+import { impossible, tooLarge } from './admission.ts';
 import type { Catalogue } from './catalogue.ts';
 import { Dispatch, type DispatchSettings } from './dispatch.ts';
 import { Fit } from './fit.ts';
@@ -8,8 +8,11 @@
 import { Gather } from './gather.ts';
 import type { Outbox } from './io.ts';
 import { type Entry, type Job, Jobs, retry } from './jobs.ts';
+import type { Lookup } from './lookup.ts';
 import { type Machine, Machines } from './machines.ts';
 import type { Command, JobSpec, Report, Settings, UserAnswer, WorkerAnswer } from './model.ts';
+import { checkNeeds } from './needcheck.ts';
+import { Needs } from './needs.ts';
 import { Newcomers } from './newcomers.ts';
 import { Estimates, Ordering } from './order.ts';
 import { Progress } from './progress.ts';
@@ -29,6 +32,9 @@
 /** Longest time for which an idle machine's report is held; workers wait for 4 s. */
 const HOLD_MAX_MS = 2000;
 
+/** Of the jobs that a waiting one awaits, so many are told. */
+const NEEDS_SHOWN = 20;
+
 interface Held {
   m: Machine;
   commands: Command[];
@@ -47,6 +53,7 @@
   readonly dispatch: Dispatch;
   readonly quota: Quota;
   readonly rooms = new Rooms();
+  readonly needs: Needs;
   private readonly roster: Roster;
   private readonly progress: Progress;
   private readonly fit: Fit;
@@ -67,6 +74,7 @@
     options: DispatchSettings,
     term: Revision,
     catalogue: Catalogue,
+    private readonly lookup: Lookup,
     current: () => boolean,
     onLost: () => void,
   ) {
@@ -79,7 +87,7 @@
     this.maxBacklog = Math.ceil(settings.state.writeRps * MAX_BACKLOG_S);
     this.store = new Store(io, settings, term, onLost);
     this.progress = new Progress(io, this.store, settings.state, term);
-    this.roster = new Roster(io, this.store, settings.state, term);
+    this.roster = new Roster(io, this.store, term);
     this.jobs = new Jobs(io, this.store, this.progress);
     const host = {
       poke: () => this.dispatch.poke(),
@@ -116,7 +124,14 @@
       gather,
     );
     this.recovery = new Recovery(io, settings, jobs, this.machines, catalogue, this.progress, roster);
+    this.needs = new Needs(io, settings, this.jobs, this.estimates);
+    this.jobs.watcher = this.needs;
+    this.recovery.onJobs = () => this.needs.loaded();
+    // To the machines a job comes when it may start, not when it is accepted.
     this.jobs.onAccepted = (job) => {
+      if (!job.blocked) this.needs.onReady(job);
+    };
+    this.needs.onReady = (job) => {
       this.fleet.warm.arrived(job);
       this.dispatch.poke();
     };
@@ -127,6 +142,7 @@
   tick(mayCommand: boolean): void {
     this.recovery.tick();
     this.store.tick();
+    this.needs.tick();
     if (!this.recovery.loaded) return;
     this.catalogue.record(this.store);
     this.newcomers ??= new Newcomers(this.io, this.jobs, this.recovery.jobsReadAt, this.current);
@@ -243,24 +259,45 @@
 
   submit(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const job = this.jobs.open.get(spec.id);
-    if (job !== undefined) return answer({ kind: 'known', id: spec.id, status: job.status() });
+    if (job !== undefined)
+      return answer(
+        this.needs.uncertain(job) ? UNCERTAIN : { kind: 'known', id: spec.id, status: job.status() },
+      );
     const final = this.jobs.final(spec.id);
     if (final !== null) return answer({ kind: 'known', id: spec.id, status: final.status });
     if (!this.recovery.loaded) return answer(retry('the jobs on record are being read'));
     if (this.store.downSince !== null) return answer(retry('the state service does not answer', 2));
     if (this.store.backlog > this.maxBacklog) return answer(retry('too many submissions at once', 2, true));
     const reason = impossible(spec, this.catalogue.types, this.settings.teams);
-    if (reason !== null) return this.refuse(spec, reason, answer);
-    this.jobs.accept(spec, answer);
+    if (reason !== null) return this.refuse(spec, { kind: 'impossible', reason }, answer);
+    const large = tooLarge(spec, this.settings.state);
+    if (large !== null) return this.refuse(spec, { kind: 'too-large', reason: large }, answer);
+    if (spec.awaits === undefined) return this.jobs.accept(spec, answer);
+    const known = (id: JobSpec['id']) =>
+      this.jobs.open.get(id)?.spec.kind ?? (this.jobs.final(id) === null ? null : 'over');
+    checkNeeds(spec, known, this.lookup, answer, () => this.acceptStill(spec, answer));
+  }
+
+  /** What the job awaits has been checked; another copy of the submission may have been faster. */
+  private acceptStill(spec: JobSpec, answer: (a: UserAnswer) => void): void {
+    const known = this.status(spec.id);
+    if (known === null) this.jobs.accept(spec, answer);
+    else if (known.kind === 'status' || known.kind === 'ended')
+      answer({ kind: 'known', id: spec.id, status: known.status });
+    else answer(known);
   }
 
   /** A job known from before is never called impossible, whatever is offered today. */
-  private refuse(spec: JobSpec, reason: string, answer: (a: UserAnswer) => void): void {
+  private refuse(
+    spec: JobSpec,
+    refusal: Extract<UserAnswer, { kind: 'impossible' | 'too-large' }>,
+    answer: (a: UserAnswer) => void,
+  ): void {
     this.jobs.readFinal(spec.id, (a) => {
       if (a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
       else if (a.kind === 'not-found') {
-        this.io.log('info', 'job refused', { job: spec.id, reason });
-        answer({ kind: 'impossible', reason });
+        this.io.log('info', 'job refused', { job: spec.id, reason: refusal.reason });
+        answer(refusal);
       } else answer(a);
     });
   }
@@ -273,12 +310,16 @@
       return final === null ? null : { kind: 'ended', id, status: final.status };
     }
     if (job.cancelled) return { kind: 'ended', id, status: 'cancelled' };
+    if (this.needs.uncertain(job)) return UNCERTAIN;
     return {
       kind: 'status',
       id,
       status: job.status(),
       done: Math.min(job.doneCount, job.spec.tasks),
       running: job.running,
+      ...(job.needs.size === 0 ? {} : { awaits: [...job.needs].slice(0, NEEDS_SHOWN) }),
     };
   }
 }
+
+const UNCERTAIN = retry('the jobs that it awaits are being read');
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -8,6 +8,8 @@
   | { kind: 'ok'; revision: Revision }
   /** The key of `check` holds something else than what this write would have left. */
   | { kind: 'conflict'; item: Item | null }
+  /** The state service will not have it, on its own or with others: too large, or malformed. */
+  | { kind: 'rejected' }
   | { kind: 'lost' };
 
 export interface Write {
@@ -20,15 +22,19 @@
   /** Smaller goes first; see Priorities. */
   priority: number;
   done: (r: WriteResult) => void;
+  /** Its transaction was rejected along with others: it is sent on its own, so that it alone fails. */
+  alone?: boolean;
 }
 
-/** Cancels and acceptances have users waiting; machines on record have tasks waiting. */
-export const Priorities = { cancel: 0, accept: 1, roster: 2, final: 3, record: 4 } as const;
+/** Cancels and acceptances have users waiting; final states that others await and machines on record have tasks waiting. */
+export const Priorities = { cancel: 0, accept: 1, needed: 2, roster: 3, final: 4, record: 5 } as const;
 
 const MAX_BYTES = 48 * 1024;
 const RETRY_MS = 250;
 /** Part of the region's write budget that the owner uses; the rest is for taking over. */
 const WRITE_SHARE = 0.85;
+/** After a refusal for too many changes the lower rate is kept for this long. */
+const SLOW_MS = 60_000;
 
 export class Store {
   private queue: Write[] = [];
@@ -41,6 +47,8 @@
   private readonly io: Outbox;
   private readonly term: Revision;
   private readonly limits: Settings['state'];
+  private readonly rateNow: number;
+  private slowUntil: Instant | null = null;
   private readonly onLost: () => void;
 
   constructor(io: Outbox, settings: Settings, term: Revision, onLost: () => void) {
@@ -48,8 +56,16 @@
     this.term = term;
     this.limits = settings.state;
     this.onLost = onLost;
-    const rate = settings.state.writeRps * WRITE_SHARE;
-    this.writes = new Budget(rate, Math.max(rate, settings.state.txnOps));
+    this.rateNow = settings.writeRpsNow * WRITE_SHARE;
+    this.writes = new Budget(
+      this.rateNow,
+      Math.max(settings.state.writeRps * WRITE_SHARE, settings.state.txnOps),
+    );
+  }
+
+  /** Bytes that one value may have. */
+  get maxValue(): number {
+    return this.limits.valueKb * 1024;
   }
 
   nonce(): string {
@@ -68,9 +84,19 @@
   }
 
   tick(): void {
+    if (this.slowUntil !== null && this.io.now >= this.slowUntil) {
+      this.slowUntil = null;
+      this.writes.rate = this.rateNow;
+    }
     this.pump();
   }
 
+  /** The service grants fewer changes than were made: what waits is written at the rate announced for later. */
+  private slowDown(): void {
+    this.slowUntil = later(this.io.now, SLOW_MS);
+    this.writes.rate = this.limits.writeRps * WRITE_SHARE;
+  }
+
   private pump(): void {
     const { io } = this;
     if (this.inFlight !== null || this.queue.length === 0 || io.now < this.notBefore) return;
@@ -92,8 +118,9 @@
       bytes += sizeOf(w);
       const fits =
         changes <= this.limits.txnOps && conditions <= this.limits.txnOps * 4 && bytes <= MAX_BYTES;
-      if (n > 0 && !fits) break;
+      if (n > 0 && (!fits || w.alone)) break;
       n++;
+      if (w.alone) break;
     }
     return n;
   }
@@ -112,13 +139,9 @@
       this.downSince = null;
       for (const w of batch) w.done({ kind: 'ok', revision: r.revision });
     } else if (r.kind === 'conflict') this.onConflict(batch, r.failed);
-    else if (r.kind === 'rejected') {
-      this.io.log('error', 'state service rejected a transaction', {
-        reason: r.reason,
-        keys: batch.map((w) => w.check),
-      });
-      for (const w of batch) w.done({ kind: 'conflict', item: null });
-    } else {
+    else if (r.kind === 'rejected') this.onRejected(batch, r.reason);
+    else {
+      if (r.kind === 'refused' && r.busy) this.slowDown();
       // Refused or unanswered: the same batch again. Its conditions let at most one of the copies through,
       // however late the first one is applied; a conflict is then resolved by reading.
       if (r.kind !== 'refused' || !r.busy) this.downSince ??= this.io.now;
@@ -128,6 +151,19 @@
     this.pump();
   }
 
+  /** One bad write must not fail the others of its transaction. */
+  private onRejected(batch: Write[], reason: string): void {
+    if (batch.length > 1) {
+      for (const w of batch) w.alone = true;
+      this.queue.unshift(...batch);
+      return;
+    }
+    for (const w of batch) {
+      this.io.log('error', 'state service rejected a write', { reason, key: w.check });
+      w.done({ kind: 'rejected' });
+    }
+  }
+
   private onConflict(batch: Write[], failed: string[]): void {
     this.downSince = null;
     if (failed.includes(OWNER_KEY)) {
@@ -164,6 +200,9 @@
 const countChanges = (batch: Write[]): number =>
   batch.reduce((n, w) => n + w.puts.length + w.drops.length, 0);
 
+/** What a value takes in the state service. */
+export const bytesOf = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
+
 const sizeOf = (w: Write): number =>
-  w.puts.reduce((n, p) => n + JSON.stringify(p.value).length + p.key.length + 32, 0) +
+  w.puts.reduce((n, p) => n + bytesOf(p.value) + p.key.length + 32, 0) +
   [...w.drops, ...w.conditions.map((c) => c.key)].reduce((n, k) => n + k.length + 32, 0);
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -68,6 +68,13 @@
   return v as TypeName[];
 }
 
+function jobIds(f: Fields, name: string): JobId[] {
+  const v = f[name];
+  if (!Array.isArray(v) || v.some((x) => typeof x !== 'string' || !isJobId(x)))
+    throw new InvalidMessage(`${name} must be a list of job ids like run-000412`);
+  return [...new Set(v as JobId[])];
+}
+
 export function isJobId(id: string): id is JobId {
   return JOB_ID.test(id);
 }
@@ -75,6 +82,7 @@
 export function parseJob(json: unknown): JobSpec {
   const f = asObject(json, 'the job');
   const id = text(f, 'nameId');
+  const awaits = optional(f, 'awaits', jobIds) ?? [];
   if (!isJobId(id)) throw new InvalidMessage('nameId must look like run-000412');
   return {
     id,
@@ -97,6 +105,7 @@
     checkpointS: amount(f, 'snapshotS'),
     saveS: amount(f, 'flushS'),
     deadlineS: optional(f, 'dueS', amount),
+    ...(awaits.length === 0 ? {} : { awaits }),
   };
 }
 
@@ -122,8 +131,16 @@
     case 'status':
       return {
         status: 200,
-        body: JSON.stringify({ nameId: a.id, status: STATUS[a.status], done: a.done, running: a.running }),
+        body: JSON.stringify({
+          nameId: a.id,
+          status: STATUS[a.status],
+          done: a.done,
+          running: a.running,
+          ...(a.awaits === undefined ? {} : { awaits: a.awaits }),
+        }),
       };
+    case 'too-large':
+      return refusal(400, a.reason);
     case 'impossible':
       return refusal(422, a.reason);
     case 'not-found':
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -30,7 +30,17 @@
     case 'ended':
       return { id, kind: K.ENDED, job: a.id, status: a.status };
     case 'status':
-      return { id, kind: K.STATUS, job: a.id, status: a.status, done: a.done, running: a.running };
+      return {
+        id,
+        kind: K.STATUS,
+        job: a.id,
+        status: a.status,
+        done: a.done,
+        running: a.running,
+        awaits: a.awaits ?? [],
+      };
+    case 'too-large':
+      return { id, kind: K.TOO_LARGE, reason: a.reason };
     case 'impossible':
       return { id, kind: K.IMPOSSIBLE, reason: a.reason };
     case 'not-found':
@@ -43,7 +53,7 @@
 function envelopeOf(m: PeerMessage): swiftford.peer.IEnvelope {
   switch (m.kind) {
     case 'hello':
-      return { hello: { node: m.node, owner: m.owner } };
+      return { hello: { node: m.node, owner: m.owner, chains: m.chains } };
     case 'ask':
       return { ask: askFields(m.id, m.request) };
     case 'reply':
@@ -83,7 +93,16 @@
     case K.ENDED:
       return { kind: 'ended', id, status: status === 'done' ? 'done' : 'cancelled' };
     case K.STATUS:
-      return { kind: 'status', id, status, done: r.done ?? 0, running: r.running ?? 0 };
+      return {
+        kind: 'status',
+        id,
+        status,
+        done: r.done ?? 0,
+        running: r.running ?? 0,
+        ...(r.awaits?.length ? { awaits: r.awaits as JobId[] } : {}),
+      };
+    case K.TOO_LARGE:
+      return { kind: 'too-large', reason: r.reason ?? '' };
     case K.IMPOSSIBLE:
       return { kind: 'impossible', reason: r.reason ?? '' };
     case K.NOT_FOUND:
@@ -98,7 +117,12 @@
 function decodePeer(body: Uint8Array): PeerMessage | null {
   const e = Envelope.decode(body);
   if (e.hello)
-    return { kind: 'hello', node: e.hello.node as NodeId, owner: Number(e.hello.owner ?? 0) as Revision };
+    return {
+      kind: 'hello',
+      node: e.hello.node as NodeId,
+      owner: Number(e.hello.owner ?? 0) as Revision,
+      chains: e.hello.chains === true,
+    };
   if (e.ask) return { kind: 'ask', id: e.ask.id ?? 0, request: decodeAsk(e.ask) };
   if (e.reply) return { kind: 'reply', id: e.reply.id ?? 0, answer: decodeAnswer(e.reply) };
   if (e.relay)
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -1,6 +1,6 @@
 // The platform's settings file (JSON), checked strictly in what is used; unknown fields are ignored.
 import * as v from 'valibot';
-import type { Settings } from '../core/model.ts';
+import type { Settings, StateLimits } from '../core/model.ts';
 import type { NodeId, TeamName, ZoneName } from '../types/index.ts';
 
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
@@ -56,12 +56,34 @@
       write_rps: positive,
       value_kb: positive,
       txn_ops: v.pipe(positive, v.integer()),
+      // Limits that come later, without notice.
+      next: v.nullish(
+        v.object({
+          rps: v.nullish(positive),
+          write_rps: v.nullish(positive),
+          value_kb: v.nullish(positive),
+          txn_ops: v.nullish(v.pipe(positive, v.integer())),
+        }),
+      ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.optional(v.object({ sockets: v.optional(positive, 1000) }), { sockets: 1000 }),
   }),
 });
 
+type StateSettings = v.InferOutput<typeof schema>['params']['state'];
+
+/** Nobody is told when the limits to come begin, so all that is written fits both from the start. */
+function safeLimits(s: StateSettings): StateLimits {
+  const least = (now: number, next: number | null | undefined) => Math.min(now, next ?? now);
+  return {
+    rps: least(s.rps, s.next?.rps),
+    writeRps: least(s.write_rps, s.next?.write_rps),
+    valueKb: least(s.value_kb, s.next?.value_kb),
+    txnOps: least(s.txn_ops, s.next?.txn_ops),
+  };
+}
+
 export class BadSettings extends Error {}
 
 function issueLine(file: string, issue: v.BaseIssue<unknown>): string {
@@ -109,12 +131,8 @@
       gangPeerS: s.params.workers.gang_peer_s,
       cancelS: s.params.workers.cancel_s,
     },
-    state: {
-      rps: s.params.state.rps,
-      writeRps: s.params.state.write_rps,
-      valueKb: s.params.state.value_kb,
-      txnOps: s.params.state.txn_ops,
-    },
+    state: safeLimits(s.params.state),
+    writeRpsNow: s.params.state.write_rps,
     cloud: { rps: s.params.cloud.rps, listLagS: s.params.cloud.list_lag_s },
     sockets: s.params.limits.sockets,
   };
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -133,7 +133,7 @@
 
 test('messages between controllers survive any cut of the stream', () => {
   const messages: PeerMessage[] = [
-    { kind: 'hello', node: 'berth-1' as NodeId, owner: 9 as Revision },
+    { kind: 'hello', node: 'berth-1' as NodeId, owner: 9 as Revision, chains: true },
     { kind: 'ask', id: 5, request: { op: 'submit', spec: job('run-1', { tasks: 3 }) } },
     { kind: 'ask', id: 6, request: { op: 'cancel', id: 'run-1' as JobId } },
     {
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -46,6 +46,7 @@
   objectives: [],
   workers: { reportS: 1, leaseS: 10, gangWaitS: 30, gangPeerS: 4, cancelS: 40 },
   state: { rps: 200, writeRps: 100, valueKb: 8, txnOps: 24 },
+  writeRpsNow: 100,
   cloud: { rps: 5, listLagS: 2 },
   sockets: 100,
   ...over,
