A lease is not taken for over where another owner may have renewed it

An owner cut off with its zone freed tasks of machines silent to it for lease_s, though the next owner had renewed their leases. Change: Machines.tick frees by lease only while no other owner can exist.

--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -516,10 +516,13 @@
     this.touch(m);
   }
 
-  /** Silent machines: once the lease has run out, what was on them is free to start elsewhere. */
-  tick(): void {
+  /**
+   * Silent machines: once the lease has run out, what was on them is free to start elsewhere. Only while no other
+   * owner can exist: one that took over meanwhile hears the machine and renews the lease, and its tasks go on.
+   */
+  tick(current: boolean): void {
     for (const m of this.all.values()) {
-      if (this.io.now < m.leaseEnds) continue;
+      if (!current || this.io.now < m.leaseEnds) continue;
       if (m.entries.size > 0)
         this.io.log('info', 'tasks lost: lease ran out', { machine: m.id, tasks: m.entries.size });
       m.leaseEnds = NEVER;
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -149,7 +149,7 @@
     this.newcomers.tick();
     this.jobs.tick();
     this.roster.tick();
-    this.machines.tick();
+    this.machines.tick(this.current());
     this.fleet.tick(this.recovery.complete && mayCommand);
     if (!mayCommand) return this.close();
     if (this.io.now >= this.nextFit) {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -469,3 +469,25 @@
   io.resolve(again.tag, { kind: 'items', items: [item], more: false, revision: 8 });
   assert.equal(jobs.open.size, 1);
 });
+
+test('an owner cut off from the record does not take leases for over that a later owner renews', () => {
+  const w = new World();
+  w.runS = 60;
+  w.submit(job('run-1', { tasks: 12 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 3));
+  w.run(3);
+  const first = w.owner!;
+  const [mine, ...theirs] = w.holders('run-1');
+  // One machine stays with the owner, on the same side of the cut; its tasks leave it room.
+  for (const t of w.workers.get(mine!)!.tasks.values()) {
+    t.state = 'exited';
+    t.why = 'done';
+  }
+  for (const other of ['state', 'cloud', 'user', ...theirs, ...w.nodes.keys()])
+    if (other !== first) w.cut(first, other, 'drop');
+  for (const other of w.nodes.keys()) if (other !== first) w.cut(mine!, other, 'drop');
+  w.run(25);
+  assert.notEqual(w.owner, undefined);
+  assert.notEqual(w.owner, first);
+  quiet(w);
+});
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -12,6 +12,10 @@
   readonly served: StateOp[] = [];
   /** A prefix whose lists are refused. */
   unreadable: string | null = null;
+  /** Keys whose reads are refused, by their beginning. */
+  unread: string | null = null;
+  /** Limits in force; null for none. */
+  limits: { valueBytes: number; txnOps: number } | null = null;
   /** Set to lose the answer to the next commit that is executed. */
   loseNextAnswer = false;
   private holds = new Map<number, { ends: number; ttl: number }>();
@@ -43,6 +47,8 @@
   private serve(node: string, op: StateOp, reply: (r: StateReply) => void): void {
     if (this.down || this.refused.has(node)) return reply({ kind: 'refused', busy: false });
     if (op.kind === 'list' && op.prefix === this.unreadable) return reply({ kind: 'refused', busy: true });
+    if (op.kind === 'get' && this.unread !== null && op.key.startsWith(this.unread))
+      return reply({ kind: 'refused', busy: true });
     this.expire();
     this.served.push(op);
     if (op.kind === 'watch') return this.watch(op, reply);
@@ -118,6 +124,11 @@
   }
 
   private commit(op: Extract<StateOp, { kind: 'commit' }>): StateReply {
+    const { limits } = this;
+    if (limits !== null && op.puts.length + op.drops.length > limits.txnOps)
+      return { kind: 'rejected', reason: 'too many operations' };
+    if (limits !== null && op.puts.some((p) => JSON.stringify(p.value).length > limits.valueBytes))
+      return { kind: 'rejected', reason: 'the value is too large' };
     const failed = op.conditions
       .filter((c) => (this.keys.get(c.key)?.revision ?? 0) !== c.revision)
       .map((c) => c.key);
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -224,6 +224,7 @@
     if (j === undefined) return void fault('unknown job');
     if (j.cancelledAt !== null && world.now > j.cancelledAt + 40_000) fault('ran_cancelled');
     const { spec } = j;
+    for (const id of spec.awaits ?? []) if (!world.doneOnRecord(id)) fault(`too_early for ${id}`);
     if ((spec.types !== null && !spec.types.includes(this.type)) || (this.spot && !spec.spot))
       fault('wrong_place');
     if (spec.zone !== null && spec.zone !== this.zone) fault('wrong_place');
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -264,9 +264,11 @@
         );
       }
       case 'peer':
-        return this.send(name, e.node, () =>
-          this.input(e.node, { kind: 'peer', node: name as NodeId, message: e.message }),
-        );
+        return this.send(name, e.node, () => {
+          const old = e.message.kind === 'hello' && this.oldForm.has(name);
+          const message = old ? { ...e.message, chains: false } : e.message;
+          this.input(e.node, { kind: 'peer', node: name as NodeId, message });
+        });
       case 'answer-user':
       case 'answer-worker': {
         const answer = this.answers.get(e.req);
@@ -283,6 +285,13 @@
     this.input(name, make(req));
   }
 
+  /** Whether the record says that the job is done. */
+  doneOnRecord(id: string): boolean {
+    return (this.state.keys.get(`f/${id}`)?.value as { s?: string } | undefined)?.s === 'done';
+  }
+  /** Nodes that greet others as versions before chained jobs do. */
+  readonly oldForm = new Set<string>();
+
   // ---- users
 
   ask(name: string, request: UserRequest): { answer: UserAnswer | null } {
