--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,7 +10,7 @@
 import { Node } from '../runtime/node.ts';
 import { defaults, KEYS, type Options, readOptions } from './options.ts';
 
-const VERSION = '0.1.0';
+const VERSION = '0.2.0';
 const ASK_MS = 3000;
 
 function readText(file: string): string {
@@ -109,7 +109,7 @@
 
 program
   .command('job <node> <id>')
-  .description('show the state of a job, asked of a node (10.0.0.1:8080)')
+  .description('show the state of a job and what it awaits, asked of a node (10.0.0.1:8080)')
   .action(
     guarded((addr: string, id: string) => {
       if (!isJobId(id)) throw new BadSettings(`${id}: a job id looks like run-000412`);
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -132,7 +132,8 @@
       if (!job.blocked) this.needs.onReady(job);
     };
     this.needs.onReady = (job) => {
-      this.fleet.warm.arrived(job);
+      // Read from the record after a take-over, it may have become ready long ago.
+      if (job.unlocated === 0) this.fleet.warm.arrived(job);
       this.dispatch.poke();
     };
     this.recovery.onComplete = () => this.dispatch.poke();
