--- a/src/core/fit.ts
+++ b/src/core/fit.ts
@@ -28,7 +28,7 @@
 /** Dear machines are left to fall idle, and be returned, before cheap ones: so much for each time the price grows by e. */
 const DEARER = 0.4;
 /** Fuller machines are filled first: emptier ones drain, for tasks that need them whole or to be returned. */
-const LOOSE = 0.6;
+const LOOSE = 1.5;
 
 export class Fit {
   private shapes: Shape[] = [];
