--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -1,9 +1,9 @@
 // Which jobs can never run, whatever happens: told to the user at once, with the reason.
 import type { Instant, Revision, TypeName, WallTime } from '../types/index.ts';
 import { canEverRun } from './fleet.ts';
-import { Job, type StoredJob } from './jobs.ts';
+import { Job } from './jobs.ts';
 import type { JobSpec, MachineType, StateLimits, Team } from './model.ts';
-import { bytesOf } from './store.ts';
+import { recordPuts } from './record.ts';
 
 export function impossible(
   spec: JobSpec,
@@ -23,14 +23,12 @@
   return null;
 }
 
-/** The mark that tells writes apart, and what else may be added to a job's record. */
-const RECORD_SPARE = 96;
+/** As long as the mark that tells writes apart, and the time, may get. */
+const NONCE = '-'.repeat(48);
+const TIME = 1e13 as WallTime;
 
-/** A job's record is one value in the state service. */
+/** Even with its list of awaited jobs in several values, a job must fit one transaction of the state service. */
 export function tooLarge(spec: JobSpec, limits: StateLimits): string | null {
-  const value: StoredJob = { s: spec, t: 0 as WallTime, c: 1, w: '' };
-  const bytes = bytesOf(value) + RECORD_SPARE;
-  const most = Math.floor(limits.valueKb * 1024);
-  if (bytes <= most) return null;
-  return `the job takes ${bytes} bytes on record, and a record may have ${most}: name fewer jobs or machine types`;
+  if (recordPuts({ s: spec, t: TIME, w: NONCE }, limits) !== null) return null;
+  return `the job is too large for a record of ${limits.txnOps - 1} values of ${limits.valueKb} KiB: name fewer jobs or machine types`;
 }
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -2,13 +2,14 @@
 // that the owner would write, under the same conditions, so only one of them is ever made; the owner finds it by
 // watching the records (newcomers.ts), a later owner by reading them.
 import type { Revision } from '../types/index.ts';
-import { impossible, tooLarge } from './admission.ts';
+import { impossible } from './admission.ts';
 import type { Catalogue } from './catalogue.ts';
 import { Budget, type Outbox } from './io.ts';
-import { FINAL, OPEN, retry, type StoredJob } from './jobs.ts';
+import { FINAL, retry } from './jobs.ts';
 import type { Lookup } from './lookup.ts';
-import type { JobSpec, Settings, StateReply, UserAnswer } from './model.ts';
+import type { JobSpec, Put, Settings, StateReply, UserAnswer } from './model.ts';
 import { checkNeeds } from './needcheck.ts';
+import { OPEN, recordPuts, type StoredJob } from './record.ts';
 
 /** Part of the region's write budget that one node may use for this. */
 const SHARE = 0.15;
@@ -36,7 +37,7 @@
     if (
       !catalogue.known ||
       impossible(spec, catalogue.types, settings.teams) !== null ||
-      tooLarge(spec, settings.state) !== null
+      this.record(spec) === null
     )
       return answer(retry('no controller can take this at the moment'));
     if (!this.budget.take(this.io.now)) return answer(retry('too many submissions at once', 2, true));
@@ -51,11 +52,17 @@
       );
   }
 
-  private write(spec: JobSpec, answer: (a: UserAnswer) => void): void {
+  /** The record in one value; the owner alone makes larger ones, which others would have to gather. */
+  private record(spec: JobSpec): Put[] | null {
     const value: StoredJob = { s: spec, t: this.io.wall, w: `${this.nonceBase}.${++this.made}` };
+    const puts = recordPuts(value, this.settings.state);
+    return puts?.length === 1 ? puts : null;
+  }
+
+  private write(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const conditions = [OPEN, FINAL].map((p) => ({ key: p + spec.id, revision: 0 as Revision }));
     this.io.state(
-      { kind: 'commit', conditions, puts: [{ key: OPEN + spec.id, value }], drops: [] },
+      { kind: 'commit', conditions, puts: this.record(spec)!, drops: [] },
       (r) => this.onReply(spec, r, answer),
       WRITE_MS,
     );
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -13,9 +13,9 @@
 import type { Outbox } from './io.ts';
 import type { Condition, Item, JobSpec, JobStatus, Priority, Put, UserAnswer } from './model.ts';
 import type { Progress } from './progress.ts';
+import { MORE, moreKeys, OPEN, partOf, recordPuts, type StoredJob } from './record.ts';
 import { bytesOf, Priorities, type Store, type WriteResult } from './store.ts';
 
-export const OPEN = 'o/';
 export const FINAL = 'f/';
 const FINALS_KEPT = 20_000;
 
@@ -42,14 +42,6 @@
   stopping: { graceS: number } | null;
 }
 
-export interface StoredJob {
-  s: JobSpec;
-  /** Wall time of acceptance. */
-  t: WallTime;
-  c?: 1;
-  w: string;
-}
-
 export interface FinalRecord {
   s: 'done' | 'cancelled';
   w: string;
@@ -115,6 +107,8 @@
   priority: Priority;
   /** Wall time by which it must be done for the jobs that need it to meet their deadlines. */
   dueBy = Number.POSITIVE_INFINITY;
+  /** Further values of its record. */
+  parts = 0;
 
   constructor(
     readonly spec: JobSpec,
@@ -281,13 +275,28 @@
     const v = item.value as StoredJob;
     const job = new Job(v.s, item.revision, v.t, this.io.now, true, this.waiting);
     job.cancelled = v.c === 1;
+    job.parts = v.x ?? 0;
     this.open.set(v.s.id, job);
   }
 
+  /** Whether any job's record has further values. */
+  get inParts(): boolean {
+    for (const job of this.open.values()) if (job.parts > 0) return true;
+    return false;
+  }
+
+  /** A further value of a job's record that has been loaded. */
+  loadMore(item: Item): void {
+    const job = this.open.get(item.key.slice(MORE.length, item.key.lastIndexOf('/')) as JobId);
+    job?.spec.awaits?.push(...partOf(item));
+  }
+
   /** A job on record that this owner does not know: taken in by another node under this term, and started by nobody. */
   adopt(item: Item): void {
     const v = item.value as StoredJob;
     const { id } = v.s;
+    // Records of several values are made by owners only: this one is known, or is for the next owner to read.
+    if ((v.x ?? 0) > 0) return;
     if (this.open.has(id) || this.accepting.has(id) || this.finals.has(id)) return;
     const job = new Job(v.s, item.revision, v.t, this.io.now, false, this.waiting);
     job.cancelled = v.c === 1;
@@ -320,29 +329,31 @@
       waiters.push(answer);
       return;
     }
-    this.accepting.set(spec.id, [answer]);
     const nonce = this.store.nonce();
     const acceptedAt = this.io.wall;
-    const value: StoredJob = { s: spec, t: acceptedAt, w: nonce };
+    const puts = recordPuts({ s: spec, t: acceptedAt, w: nonce }, this.store.limits);
+    if (puts === null) return answer({ kind: 'too-large', reason: 'the job is too large for a record' });
+    this.accepting.set(spec.id, [answer]);
     this.store.write({
       conditions: [
         { key: OPEN + spec.id, revision: 0 as Revision },
         { key: FINAL + spec.id, revision: 0 as Revision },
       ],
-      puts: [{ key: OPEN + spec.id, value }],
+      puts,
       drops: [],
       check: OPEN + spec.id,
       nonce,
       priority: Priorities.accept,
-      done: (r) => this.onAccept(spec, acceptedAt, r),
+      done: (r) => this.onAccept(spec, acceptedAt, puts.length - 1, r),
     });
   }
 
-  private onAccept(spec: JobSpec, acceptedAt: WallTime, r: WriteResult): void {
+  private onAccept(spec: JobSpec, acceptedAt: WallTime, parts: number, r: WriteResult): void {
     const waiters = this.accepting.get(spec.id) ?? [];
     this.accepting.delete(spec.id);
     if (r.kind === 'ok') {
       const job = new Job(spec, r.revision, acceptedAt, this.io.now, false, this.waiting);
+      job.parts = parts;
       this.open.set(spec.id, job);
       this.io.log('debug', 'job accepted', { job: spec.id, class: spec.class, tasks: spec.tasks });
       this.opened(job);
@@ -413,9 +424,9 @@
   /** A record from before the limits fell may be too large to write again; a cancelled job needs no lists. */
   private cancelMark(job: Job, nonce: string): StoredJob {
     const value: StoredJob = { s: job.spec, t: job.acceptedAt, c: 1, w: nonce };
-    if (bytesOf(value) <= this.store.maxValue) return value;
+    if (job.parts === 0 && bytesOf(value) <= this.store.maxValue) return value;
     const { awaits: _, ...rest } = job.spec;
-    return { ...value, s: { ...rest, types: null } };
+    return { ...value, s: { ...rest, types: null }, ...(job.parts > 0 ? { x: job.parts } : {}) };
   }
 
   private cancelAgain(job: Job, answer: (a: UserAnswer) => void): void {
@@ -458,7 +469,7 @@
     const status = job.cancelled ? 'cancelled' : 'done';
     const nonce = this.store.nonce();
     const conditions: Condition[] = [{ key: OPEN + job.id, revision: job.revision }];
-    const drops = [OPEN + job.id];
+    const drops = [OPEN + job.id, ...moreKeys(job.id, job.parts)];
     const value: FinalRecord = { s: status, w: nonce, t: this.io.wall };
     const puts: Put[] = [{ key: FINAL + job.id, value }];
     this.store.write({
--- a/src/core/lookup.ts
+++ b/src/core/lookup.ts
@@ -1,8 +1,9 @@
 // Jobs this node does not hold: read from the state service, many names in one compare-only transaction.
 import type { JobId, Revision } from '../types/index.ts';
 import { Budget, type Outbox } from './io.ts';
-import { FINAL, type FinalRecord, OPEN, retry, type StoredJob } from './jobs.ts';
+import { FINAL, type FinalRecord, retry } from './jobs.ts';
 import type { Condition, Settings, StateReply, UserAnswer } from './model.ts';
+import { moreKeys, OPEN, partOf, type StoredJob } from './record.ts';
 
 interface Waiting {
   id: JobId;
@@ -96,7 +97,7 @@
       if (r.kind === 'item') {
         const v = r.item.value as StoredJob;
         if (v.c === 1) w.answer({ kind: 'ended', id: w.id, status: 'cancelled' });
-        else this.derive(w, v.s.awaits ?? []);
+        else this.awaitsOf(v, (awaits) => this.derive(w, awaits));
       } else if (r.kind === 'missing') this.readFinal(w);
       else w.answer(retry('the state service does not answer'));
     });
@@ -106,7 +107,8 @@
    * A job that awaits others is cancelled when any of them is, through any number of others, though its own record
    * does not say so. That none was cancelled when looked at, later than the job's own record, makes `queued` true.
    */
-  private derive(w: Waiting, awaits: JobId[]): void {
+  private derive(w: Waiting, awaits: JobId[] | null): void {
+    if (awaits === null) return w.answer(retry('the state service does not answer'));
     const seen = new Set(awaits);
     const todo = [...seen];
     let reads = 0;
@@ -130,6 +132,22 @@
     next();
   }
 
+  /** All that a job awaits, with the further values of its record; null when they cannot be read. */
+  private awaitsOf(v: StoredJob, then: (awaits: JobId[] | null) => void): void {
+    const all = [...(v.s.awaits ?? [])];
+    const keys = moreKeys(v.s.id, v.x ?? 0);
+    const next = (): void => {
+      const key = keys.shift();
+      if (key === undefined) return then(all);
+      this.io.state({ kind: 'get', key }, (r) => {
+        if (r.kind !== 'item') return then(null);
+        all.push(...partOf(r.item));
+        next();
+      });
+    };
+    next();
+  }
+
   private cancelled(w: Waiting): void {
     const a: UserAnswer = { kind: 'ended', id: w.id, status: 'cancelled' };
     this.remember(a);
@@ -144,7 +162,8 @@
       this.io.state({ kind: 'get', key: OPEN + id }, (o) => {
         if (o.kind === 'item') {
           const v = o.item.value as StoredJob;
-          then(v.c === 1 ? 'cancelled' : (v.s.awaits ?? []));
+          if (v.c === 1) then('cancelled');
+          else this.awaitsOf(v, then);
         } else if (o.kind === 'missing' && again) this.readNeed(id, then, false);
         else then(null);
       });
--- a/src/core/newcomers.ts
+++ b/src/core/newcomers.ts
@@ -1,8 +1,9 @@
 // Jobs that other nodes took in (intake.ts): the owner watches the jobs on record and takes up what it does not know.
 import { type Instant, LONG_AGO, later, type Revision } from '../types/index.ts';
 import type { Outbox } from './io.ts';
-import { type Jobs, OPEN } from './jobs.ts';
+import type { Jobs } from './jobs.ts';
 import type { StateReply } from './model.ts';
+import { OPEN } from './record.ts';
 
 const WATCH_MS = 10_000;
 const RETRY_MS = 500;
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -10,11 +10,12 @@
 } from '../types/index.ts';
 import { type Catalogue, TYPE } from './catalogue.ts';
 import type { Outbox } from './io.ts';
-import { type Job, type Jobs, OPEN, Task } from './jobs.ts';
+import { type Job, type Jobs, Task } from './jobs.ts';
 import type { Machine, Machines } from './machines.ts';
 import type { Item, MachineType, Settings, StateReply } from './model.ts';
 import { PAGE_VERSION } from './page.ts';
 import { BITS, type Progress } from './progress.ts';
+import { MORE, OPEN } from './record.ts';
 import { MACHINE, type Roster, type RosterMachine, type RosterPage } from './roster.ts';
 
 const RETRY_MS = 250;
@@ -33,7 +34,7 @@
   onComplete: () => void = () => {};
   /** All jobs on record are known. */
   onJobs: () => void = () => {};
-  private step: 'types' | 'jobs' | 'bits' | 'machines' = 'types';
+  private step: 'types' | 'jobs' | 'more' | 'bits' | 'machines' = 'types';
   private busy = false;
   private retryAt: Instant = LONG_AGO;
   private after: string | null = null;
@@ -79,7 +80,7 @@
   private load(): void {
     if (this.busy || this.unreadable || this.io.now < this.retryAt) return;
     this.busy = true;
-    const prefix = { types: TYPE, jobs: OPEN, bits: BITS, machines: MACHINE }[this.step];
+    const prefix = { types: TYPE, jobs: OPEN, more: MORE, bits: BITS, machines: MACHINE }[this.step];
     this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r));
   }
 
@@ -105,7 +106,8 @@
       this.busy = false;
       this.load();
     } else if (this.step === 'types') this.afterTypes();
-    else if (this.step === 'jobs') {
+    else if (this.step === 'jobs' && this.jobs.inParts) this.next('more');
+    else if (this.step === 'jobs' || this.step === 'more') {
       this.onJobs();
       this.next('bits');
     } else if (this.step === 'bits') this.next('machines');
@@ -125,6 +127,7 @@
         (item.value as { v: MachineType }).v,
       );
     if (this.step === 'jobs') return this.jobs.load(item);
+    if (this.step === 'more') return this.jobs.loadMore(item);
     if ((item.value as { v?: unknown } | null)?.v !== PAGE_VERSION) return this.refuse(item.key);
     if (this.step === 'bits') this.progress.load(item, this.jobs.open);
     else
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -46,7 +46,7 @@
   private readonly writes: Budget;
   private readonly io: Outbox;
   private readonly term: Revision;
-  private readonly limits: Settings['state'];
+  readonly limits: Settings['state'];
   private readonly rateNow: number;
   private slowUntil: Instant | null = null;
   private readonly onLost: () => void;
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -2,9 +2,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Outbox } from '../src/core/io.ts';
-import { type Entry, Job, Jobs, OPEN } from '../src/core/jobs.ts';
+import { type Entry, Job, Jobs } from '../src/core/jobs.ts';
 import { Newcomers } from '../src/core/newcomers.ts';
 import type { Progress } from '../src/core/progress.ts';
+import { OPEN } from '../src/core/record.ts';
 import type { Store } from '../src/core/store.ts';
 import { seeded } from '../src/runtime/random.ts';
 import type {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -124,7 +124,7 @@
   assert.equal(w.submit(s)?.kind, 'known');
   const a = w.submit(job('run-new', { types }), 'node-1');
   assert.equal(a?.kind, 'too-large');
-  assert.match((a as { reason: string }).reason, /2048/);
+  assert.match((a as { reason: string }).reason, /2 KiB/);
   const told = w.insist({ op: 'cancel', id: 'run-long' as JobId });
   assert.deepEqual(told, { kind: 'ended', id: 'run-long', status: 'cancelled' });
   for (const n of NODES) w.crash(n);
@@ -132,6 +132,35 @@
   assert.deepEqual(w.status('run-long'), told);
 });
 
+test('a job that awaits hundreds of others takes several values, written, read and dropped together', () => {
+  const w = upgraded();
+  w.runS = 3;
+  w.run(8);
+  const ids = Array.from({ length: 300 }, (_, i) => `run-${String(i).padStart(6, '0')}` as JobId);
+  for (const id of ids) {
+    const value = { s: 'done', w: 'x' };
+    if (id !== ids[299]) w.state.keys.set(`f/${id}`, { value, revision: ++w.state.revision, hold: null });
+  }
+  w.runS = 25;
+  w.submit(job(ids[299]!));
+  const spec = job('run-last', { awaits: ids });
+  assert.equal(w.submit(spec, 'node-1')?.kind, 'accepted');
+  const parts = () => [...w.state.keys.keys()].filter((k) => k.startsWith('a/run-last/')).length;
+  holds(parts() >= 2, `${parts()} parts`);
+  // The last one named stands in the last part: an owner that reads only the first value would start the job.
+  for (const n of NODES) w.crash(n);
+  w.run(5);
+  for (const n of NODES) w.start(n);
+  w.run(12);
+  const told = w.status('run-last');
+  assert.deepEqual(told?.kind === 'status' && told.awaits, [ids[299]]);
+  w.insist({ op: 'cancel', id: ids[299]! });
+  assert.deepEqual(w.status('run-last', 'node-2'), { kind: 'ended', id: 'run-last', status: 'cancelled' });
+  w.run(10);
+  assert.equal(parts(), 0);
+  assert.deepEqual(w.broken, []);
+});
+
 test('what is written keeps the form that production reads', () => {
   const w = new World({ state: LATER, writeRpsNow: 40 });
   w.runS = 20;
