Links of chains go to machines that answer soon

One change: for jobs in a chain, the time until the machine's next report, plus the fetch, against the time left.

--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -104,12 +104,11 @@
     const { now, wall } = this.io;
     const out: { job: Job; within: number; slack: number }[] = [];
     for (const job of this.jobs.waiting)
-      if (!job.cancelled && now >= job.retryAt)
-        out.push({
-          job,
-          within: this.quota.withinGuarantee(job) ? 0 : 1,
-          slack: this.ordering.slackS(job, now, wall),
-        });
+      if (!job.cancelled && now >= job.retryAt) {
+        const slack = this.ordering.slackS(job, now, wall);
+        job.slackS = slack;
+        out.push({ job, within: this.quota.withinGuarantee(job) ? 0 : 1, slack });
+      }
     out.sort((a, b) => b.job.priority - a.job.priority || a.within - b.within || a.slack - b.slack);
     return out.map((x) => x.job);
   }
--- a/src/core/fit.ts
+++ b/src/core/fit.ts
@@ -29,6 +29,9 @@
 const DEARER = 0.4;
 /** Fuller machines are filled first: emptier ones drain, for tasks that need them whole or to be returned. */
 const LOOSE = 1.5;
+/** A start that takes all the time left to a link of a chain counts as much as this, and never more than the second. */
+const LATE = 2;
+const LATE_MAX = 1;
 
 export class Fit {
   private shapes: Shape[] = [];
@@ -37,10 +40,16 @@
   private readonly bases = new Map<string, number>();
 
   private readonly shortestWaitS: (cls: string) => number | null;
+  private readonly answerInS: (m: Machine) => number;
 
-  constructor(types: Map<TypeName, MachineType>, shortestWaitS: (cls: string) => number | null) {
+  constructor(
+    types: Map<TypeName, MachineType>,
+    shortestWaitS: (cls: string) => number | null,
+    answerInS: (m: Machine) => number,
+  ) {
     this.types = types;
     this.shortestWaitS = shortestWaitS;
+    this.answerInS = answerInS;
   }
 
   /**
@@ -128,7 +137,18 @@
     // A fetch displaces nobody: however long, it must not keep a task from a machine that stands idle.
     if (cost > WASTEFUL) return Number.POSITIVE_INFINITY;
     const spare = Math.max(0, m.freeCpus - job.spec.cpus) / m.type.cpus;
-    return cost + this.fetchPenalty(job, m) + spare * LOOSE + this.dearness(job, m) + this.fetchDelay(job, m);
+    const suits = cost + this.fetchPenalty(job, m) + spare * LOOSE + this.dearness(job, m);
+    return suits + this.fetchDelay(job, m) + this.lateness(job, m);
+  }
+
+  /**
+   * The part that waiting for the machine's next report, and for the image, takes of the time left to a job that
+   * others need, or that needed others: a chain pays it at every link.
+   */
+  private lateness(job: Job, m: Machine): number {
+    if (!job.inChain || job.slackS === null) return 0;
+    const fetchS = m.images.has(job.spec.image) ? 0 : job.spec.imageGb / Math.max(1e-3, m.type.fetchGbPerS);
+    return Math.min(LATE_MAX, (LATE * (this.answerInS(m) + fetchS)) / Math.max(1, job.slackS));
   }
 
   /** The part of the shortest wait that users want which fetching the image would take. */
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -107,6 +107,8 @@
   priority: Priority;
   /** Wall time by which it must be done for the jobs that need it to meet their deadlines. */
   dueBy = Number.POSITIVE_INFINITY;
+  /** Seconds until it should start, as of the last pass that ranked it. */
+  slackS: number | null = null;
   /** Further values of its record. */
   parts = 0;
 
@@ -171,6 +173,11 @@
     else if (s === Task.Done) this.doneCount += by;
   }
 
+  /** Whether it awaited others, or others with a deadline await it. */
+  get inChain(): boolean {
+    return Number.isFinite(this.dueBy) || (this.spec.awaits ?? []).length > 0;
+  }
+
   /** All that it awaits is done on record. */
   unblock(now: Instant): void {
     this.blocked = false;
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -109,7 +109,11 @@
       term,
       catalogue.types,
     );
-    this.fit = new Fit(catalogue.types, (cls) => ordering.shortestWaitS(cls));
+    this.fit = new Fit(
+      catalogue.types,
+      (cls) => ordering.shortestWaitS(cls),
+      (m) => this.answerInS(m),
+    );
     const gather = new Gather(io, this.machines, rooms, this.fit, this.estimates);
     this.dispatch = new Dispatch(
       io,
@@ -222,6 +226,12 @@
     h.answer({ kind: 'orders', token: this.machines.token, commands: h.commands });
   }
 
+  /** How long a start sent to the machine waits for its next report; none if one is held. */
+  private answerInS(m: Machine): number {
+    if (this.held.has(m.id)) return 0;
+    return Math.max(0, this.settings.workers.reportS - (this.io.now - m.lastReport) / 1000);
+  }
+
   /** Work waits that the next pass, which is due at once, may bind to this machine. */
   private awaitsPass(h: Held): boolean {
     const waited = this.holdMs - (h.until - this.io.now);
