A final state read for another reason resolves what waits for it; unknown peers count as older

Found on reading the change: a final state remembered while it was being read for a waiting job left that job waiting; and a peer whose link broke was forgotten to be of the earlier version. The latest greeting counts now, and a connected node that has not greeted yet counts as older. Story for the first, seen to fail without it.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -38,8 +38,8 @@
   private readonly relay: Relay;
   private readonly intake: Intake;
   private readonly peersUp = new Set<NodeId>();
-  /** Connected nodes of a version that would start a job before those it awaits. */
-  private readonly oldPeers = new Set<NodeId>();
+  /** Whether nodes know of jobs that await others, as they said last; versions before 0.2 start such a job at once. */
+  private readonly knowsChains = new Map<NodeId, boolean>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
   private nextAsk = 1;
@@ -106,7 +106,7 @@
       stateDown: share !== null && share.store.downSince !== null,
       writesWaiting: share?.store.backlog ?? 0,
       jobs: share?.jobs.open.size ?? 0,
-      olderPeers: [...this.oldPeers],
+      olderPeers: this.olderPeers(),
       finalStatesToRead: share?.needs.open ?? 0,
       machines: machines.length,
       draining: machines.filter((m) => m.drain !== null).map((m) => `${m.id}: ${m.drain}`),
@@ -136,7 +136,6 @@
         return this.greet(input.node);
       case 'peer-down':
         this.peersUp.delete(input.node);
-        this.oldPeers.delete(input.node);
         return this.dropForwarded(input.node);
     }
   }
@@ -199,18 +198,23 @@
 
   /** An owner of an earlier version would start the job at once: while there may be one, none is accepted. */
   private tooEarlyForChains(request: UserRequest, answer: (a: UserAnswer) => void): boolean {
-    if (request.op !== 'submit' || request.spec.awaits === undefined || this.oldPeers.size === 0)
-      return false;
+    if (request.op !== 'submit' || request.spec.awaits === undefined) return false;
+    if (this.olderPeers().length === 0) return false;
     const { id } = request.spec;
     const open = this.share?.jobs.open.has(id) ?? false;
     if (open) return false;
     this.lookup.ask(id, (a) => {
       if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id, status: a.status });
-      else answer(retry('not all controllers know of jobs that await others yet', 5));
+      else answer(retry('not all controllers know of jobs that await others yet', 2));
     });
     return true;
   }
 
+  /** Connected nodes not known to be of this version; one that has just come up greets within a second. */
+  private olderPeers(): NodeId[] {
+    return [...this.peersUp].filter((node) => this.knowsChains.get(node) !== true);
+  }
+
   /** Answers once, and at the latest after the given time, telling the user when to come back. */
   private inTime(answer: (a: UserAnswer) => void, ms: number): (a: UserAnswer) => void {
     const t: Timed = { answer, deadline: later(this.io.now, ms) };
@@ -298,11 +302,10 @@
   }
 
   private hello(node: NodeId, owner: Revision, chains: boolean): void {
-    if (chains) this.oldPeers.delete(node);
-    else if (!this.oldPeers.has(node)) {
-      this.oldPeers.add(node);
+    const before = this.knowsChains.get(node);
+    this.knowsChains.set(node, chains);
+    if (!chains && before !== false)
       this.io.log('info', 'peer of an earlier version: jobs that await others are refused for now', { node });
-    }
     this.leadership.heard(node, owner);
   }
 
--- a/src/core/needs.ts
+++ b/src/core/needs.ts
@@ -227,10 +227,13 @@
   }
 
   private onRead(id: JobId, r: StateReply): void {
-    if (this.jobs.open.has(id) || this.jobs.final(id) !== null) {
+    if (this.jobs.open.has(id)) {
       this.unknown.delete(id);
       return;
     }
+    // A repeated submission of the job may have had its final state read meanwhile.
+    const final = this.jobs.final(id);
+    if (final !== null) return this.resolve(id, final.status, final.at);
     if (r.kind === 'item') {
       const f = r.item.value as FinalRecord;
       this.jobs.rememberFinal(id, f.s, f.t);
--- a/test/chains.test.ts
+++ b/test/chains.test.ts
@@ -216,6 +216,21 @@
   quiet(w);
 });
 
+test('a final state that a repeated submission brings to light resolves what waits for it', () => {
+  const { io, jobs, open } = graph();
+  const b = open(after('run-b', ['run-a']));
+  assert.equal(b.blocked, true);
+  // While run-a's final state is being read for run-b, it is read for another reason first.
+  jobs.rememberFinal('run-a' as JobId, 'done', 1e9 as WallTime);
+  for (const e of io.drain())
+    if (e.kind === 'state')
+      io.resolve(e.tag, {
+        kind: 'item',
+        item: { key: 'f/run-a', value: { s: 'done', w: 'x' }, revision: 1 },
+      });
+  assert.equal(b.blocked, false);
+});
+
 test('waiting work is neither rented for nor counted; when ready it has the times and rank of what needs it', () => {
   const w = new World();
   w.runS = 30;
