--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -60,6 +60,9 @@
     ['berthkinds', 'g8'],
     ['samePlace', 1],
     ['dueS', 'soon'],
+    ['awaits', 'run-1'],
+    ['awaits', ['run-1', 'job 2']],
+    ['awaits', [7]],
   ];
   for (const [field, value] of bad)
     assert.throws(
@@ -70,6 +73,13 @@
   assert.throws(() => parseJob([]), InvalidMessage);
 });
 
+test('jobs that a job awaits are read once each; without any the job is as it was before there were such', () => {
+  for (const none of [{}, { awaits: null }, { awaits: [] }])
+    assert.deepEqual(parseJob({ ...wireJob, ...none }), parseJob(wireJob));
+  assert.equal('awaits' in parseJob(wireJob), false);
+  assert.deepEqual(parseJob({ ...wireJob, awaits: ['run-1', 'run-2', 'run-1'] }).awaits, ['run-1', 'run-2']);
+});
+
 test('a request to come back later carries Retry-After, in whole seconds', () => {
   const a = encodeUserAnswer({ kind: 'retry', afterS: 1.2, reason: 'later', overload: false });
   assert.equal(a.status, 503);
@@ -180,6 +190,23 @@
   assert.throws(() => parseSettings('s.json', '{'), /s\.json: not JSON/);
 });
 
+test('limits that come later are kept from the start, each that is named; a bad one is an error with its path', () => {
+  const withNext = (next: unknown) => {
+    const { state } = platform.params;
+    return JSON.stringify({ ...platform, params: { ...platform.params, state: { ...state, next } } });
+  };
+  const now = { rps: 10, writeRps: 5, valueKb: 8, txnOps: 24 };
+  for (const none of [undefined, null, {}])
+    assert.deepEqual(parseSettings('s.json', withNext(none)).state, now);
+  const s = parseSettings('s.json', withNext({ write_rps: 3, value_kb: 2, rps: 99 }));
+  assert.deepEqual(s.state, { ...now, writeRps: 3, valueKb: 2 });
+  assert.equal(s.writeRpsNow, 5);
+  assert.throws(
+    () => parseSettings('s.json', withNext({ txn_ops: 1.5 })),
+    /^Error: s\.json: params\.state\.next\.txn_ops: [^\n]+$/,
+  );
+});
+
 test("operators' settings: defaults from one place, unknown names and bad values refused", () => {
   assert.deepEqual(readOptions('o.hcl', {}), defaults());
   assert.equal(readOptions('o.hcl', { dispatch: [{ threshold: 4 }] }).threshold, 4);
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -92,9 +92,13 @@
   for (let dies = 5; dies < 20; dies++) {
     const w = upgraded(more);
     w.cloud.down = true;
+    // In force from the beginning, or only from the moment when the owner dies.
+    const limits = w.state.limits;
+    if (dies % 2 === 1) w.state.limits = null;
     for (let i = 0; i < 130; i++) {
       w.run(0.1);
       const owner = w.owner;
+      if (i === dies * 4) w.state.limits = limits;
       if (i === dies * 4 && owner !== undefined) {
         w.crash(owner);
         w.after(2000, () => w.start(owner));
