--- a/test/chains.test.ts
+++ b/test/chains.test.ts
@@ -160,6 +160,42 @@
   quiet(w);
 });
 
+test('a result whose report was held back until after the cancellation changes nothing', () => {
+  const w = new World();
+  w.submit(job('run-a'));
+  w.submit(after('run-b', ['run-a']));
+  holds(w.until(() => w.holders('run-a').length > 0));
+  const [m] = w.holders('run-a');
+  for (const n of NODES) w.cut(m!, n, 'hold');
+  w.run(6);
+  assert.equal(w.workers.get(m!)!.live().length, 0);
+  holds(cancelled(cancel(w, 'run-a')));
+  for (const n of NODES) w.heal(m!, n);
+  w.run(15);
+  for (const id of ['run-a', 'run-b']) holds(cancelled(w.status(id, 'node-1')), id);
+  assert.deepEqual(w.holders('run-b'), []);
+  quiet(w);
+});
+
+test('through a restart of one node after the other a chain goes on, and nothing runs twice', () => {
+  const w = new World();
+  w.runS = 6;
+  w.submit(job('run-a', { tasks: 6 }));
+  w.submit(after('run-b', ['run-a'], { tasks: 4 }));
+  w.submit(after('run-c', ['run-b']));
+  for (let round = 0; round < 2; round++)
+    for (const n of NODES) {
+      w.crash(n);
+      w.run(6);
+      w.start(n);
+      w.run(6);
+    }
+  holds(w.until(() => w.isDone('run-c'), 100));
+  const starts = [...w.workers.values()].reduce((n, x) => n + x.starts, 0);
+  assert.equal(starts, 11);
+  quiet(w);
+});
+
 test('a new owner says nothing of a waiting job, and starts nothing of it, before it has read what it awaits', () => {
   const w = new World();
   w.runS = 20;
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -145,3 +145,42 @@
   assert.ok(w.isDone('run-big'));
   assert.deepEqual(w.broken, []);
 });
+
+test('a machine with a spot notice gets no more work; its tasks run on and save just in time', () => {
+  const w = new World();
+  w.runS = 40;
+  w.submit(job('run-1', { spot: true, checkpointS: 5, saveS: 2 }));
+  assert.equal(
+    w.until(() => w.holders('run-1').length > 0),
+    true,
+  );
+  w.run(2);
+  const m = w.workers.get(w.holders('run-1')[0]!)!;
+  const ends = w.now + 15_000;
+  for (let s = 0; s <= 15; s++)
+    w.after(s * 1000, () => {
+      m.noticeS = (ends - w.now) / 1000;
+    });
+  w.run(2);
+  w.submit(job('run-2', { spot: true }));
+  w.run(13);
+  assert.deepEqual(
+    m.stops.map((x) => x.task),
+    ['run-1/0'],
+  );
+  const [stop] = m.stops;
+  // With time enough to save, and not before it must.
+  assert.equal(stop!.graceS >= 2, true);
+  assert.equal(
+    ends - stop!.at >= 2000 && ends - stop!.at <= 8000,
+    true,
+    `${ends - stop!.at} ms before the end`,
+  );
+  assert.equal(w.holders('run-2').includes(m.id), false);
+  m.die();
+  assert.equal(
+    w.until(() => w.isDone('run-1') && w.isDone('run-2'), 120),
+    true,
+  );
+  assert.deepEqual(w.broken, []);
+});
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -40,6 +40,8 @@
   readonly tasks = new Map<string, Running>();
   readonly results = new Set<string>();
   starts = 0;
+  /** Stop commands for tasks that ran. */
+  readonly stops: { task: TaskId; graceS: number; at: number }[] = [];
   private target = 0;
   private inFlight = false;
   private leaseFrom = 0;
@@ -185,7 +187,10 @@
     if (c.op === 'forget') {
       if (t?.state === 'exited') this.tasks.delete(key);
     } else if (c.op === 'stop') {
-      if (t !== undefined && t.state !== 'exited') this.exit(t, 'stopped');
+      if (t !== undefined && t.state !== 'exited') {
+        this.stops.push({ task: c.task, graceS: c.graceS, at: this.world.now });
+        this.exit(t, 'stopped');
+      }
     } else if (t === undefined) this.startTask(c.task, c.attempt, key);
     this.changed = true;
   }
