--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -2,14 +2,25 @@
 import { type Instant, later, type NodeId, type Revision, type WallTime } from '../types/index.ts';
 import { Catalogue } from './catalogue.ts';
 import type { DispatchSettings } from './dispatch.ts';
+import { Fronts } from './fronts.ts';
 import { Intake } from './intake.ts';
 import { type Effect, type Input, Outbox, type Random } from './io.ts';
 import { retry } from './jobs.ts';
 import { HOLD_MS, Leadership } from './leadership.ts';
 import { Lookup } from './lookup.ts';
-import type { PeerMessage, Report, Settings, UserAnswer, UserRequest, WorkerAnswer } from './model.ts';
+import type {
+  FrontAnswer,
+  FrontReport,
+  PeerMessage,
+  Report,
+  Settings,
+  UserAnswer,
+  UserRequest,
+  WorkerAnswer,
+} from './model.ts';
 import { Relay } from './relay.ts';
 import { Share } from './share.ts';
+import { StateBudget } from './statebudget.ts';
 
 interface Forwarded {
   request: UserRequest;
@@ -36,24 +47,29 @@
   private readonly lookup: Lookup;
   private readonly catalogue: Catalogue;
   private readonly relay: Relay;
+  private readonly fronts: Fronts;
   private readonly intake: Intake;
   private readonly peersUp = new Set<NodeId>();
   /** Whether nodes know of jobs that await others, as they said last; versions before 0.2 start such a job at once. */
   private readonly knowsChains = new Map<NodeId, boolean>();
+  /** Nodes that take reports passed on in short form; versions before 0.3 do not. */
+  private readonly knowsFronts = new Set<NodeId>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
   private nextAsk = 1;
 
   constructor(settings: Settings, options: DispatchSettings, random: Random) {
     this.settings = settings;
-    this.io = new Outbox(random);
+    this.io = new Outbox(random, new StateBudget(settings.state.rps, settings.peers.length + 1));
     this.lookup = new Lookup(this.io, settings);
     this.catalogue = new Catalogue(this.io);
     this.relay = new Relay(this.io);
+    this.fronts = new Fronts(this.io);
     this.intake = new Intake(this.io, settings, this.catalogue, this.lookup);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
     this.leadership = new Leadership(this.io, settings.node, rank, {
       onOwned: (term) => {
+        this.io.stateBudget?.setOwner(true);
         this.share = new Share(
           this.io,
           settings,
@@ -67,6 +83,7 @@
         this.announce();
       },
       onLost: () => {
+        this.io.stateBudget?.setOwner(false);
         this.share?.close();
         this.share = null;
         this.announce();
@@ -78,6 +95,7 @@
   step(now: Instant, wall: WallTime, input: Input): Effect[] {
     this.io.begin(now, wall);
     this.take(input);
+    this.unpark();
     if (this.mayCommand()) this.share?.settle();
     return this.io.drain();
   }
@@ -136,6 +154,8 @@
         return this.greet(input.node);
       case 'peer-down':
         this.peersUp.delete(input.node);
+        this.knowsFronts.delete(input.node);
+        this.fronts.lost(input.node);
         return this.dropForwarded(input.node);
     }
   }
@@ -146,6 +166,8 @@
     this.share?.tick(this.mayCommand());
     this.lookup.tick();
     this.relay.tick();
+    const { owner } = this.leadership;
+    this.fronts.tick(owner?.node === this.settings.node ? null : (owner?.node ?? null));
     this.expire();
   }
 
@@ -179,7 +201,22 @@
     }
     if (share !== null && this.mayCommand()) return share.report(r, answer);
     const owner = l.owner?.node === this.settings.node ? null : l.owner;
-    this.relay.report(r, owner, owner !== null && this.peersUp.has(owner.node), answer);
+    const linked = owner !== null && this.peersUp.has(owner.node);
+    // The next owner is chosen within seconds: a worker sent round meanwhile would only come back.
+    if (this.peersUp.size > 0 && (owner === null || (!linked && this.fronts.lostLately(owner.node))))
+      return this.fronts.park(r, answer);
+    if (linked && this.knowsFronts.has(owner.node) && this.fronts.usable)
+      return this.fronts.report(r, owner.node, answer);
+    this.relay.report(r, owner, linked, answer);
+  }
+
+  /** Reports that waited for an owner go to it as soon as there is one. */
+  private unpark(): void {
+    const owner = this.leadership.owner;
+    if (owner === null) return;
+    const here = owner.node === this.settings.node;
+    if (here ? this.share !== null && this.mayCommand() : this.peersUp.has(owner.node))
+      this.fronts.unpark((r, answer) => this.report(r, answer));
   }
 
   // ---- users
@@ -285,7 +322,7 @@
     this.io.emit({
       kind: 'peer',
       node,
-      message: { kind: 'hello', node: this.settings.node, owner: owner as never, chains: true },
+      message: { kind: 'hello', node: this.settings.node, owner: owner as never, chains: true, fronts: true },
     });
   }
 
@@ -294,14 +331,18 @@
   }
 
   private peer(node: NodeId, m: PeerMessage): void {
-    if (m.kind === 'hello') this.hello(m.node, m.owner, m.chains);
+    if (m.kind === 'hello') this.hello(m);
+    else if (m.kind === 'front') this.fronted(node, m.id, m.report);
+    else if (m.kind === 'fronted') this.fronts.answered(m.id, m.answer);
     else if (m.kind === 'ask') this.asked(node, m.id, m.request);
     else if (m.kind === 'reply') this.replied(m.id, m.answer);
     else if (m.kind === 'relay') this.passedOn(node, m.id, m.report);
     else this.relay.relayed(m.id, m.answer);
   }
 
-  private hello(node: NodeId, owner: Revision, chains: boolean): void {
+  private hello({ node, owner, chains, fronts }: Extract<PeerMessage, { kind: 'hello' }>): void {
+    if (fronts) this.knowsFronts.add(node);
+    else this.knowsFronts.delete(node);
     const before = this.knowsChains.get(node);
     this.knowsChains.set(node, chains);
     if (!chains && before !== false)
@@ -317,6 +358,16 @@
     else this.report(r, reply);
   }
 
+  private fronted(node: NodeId, id: number, report: FrontReport): void {
+    const { share, leadership: l } = this;
+    const reply = (answer: FrontAnswer) =>
+      this.io.emit({ kind: 'peer', node, message: { kind: 'fronted', id, answer } });
+    const token = report.whole === null ? report.token : report.whole.token;
+    if (share !== null && token > share.machines.token) l.superseded();
+    if (this.share === null || !this.mayCommand()) reply(null);
+    else this.share.front(report, reply);
+  }
+
   private asked(node: NodeId, id: number, request: UserRequest): void {
     const reply = (answer: UserAnswer | null) =>
       this.io.emit({ kind: 'peer', node, message: { kind: 'reply', id, answer } });
--- /dev/null
+++ b/src/core/fronts.ts
@@ -0,0 +1,185 @@
+// Workers spread over all controllers: a node that is not the owner keeps the workers that come to it, passes their
+// reports on over the link to the owner, most as a mere repetition, and brings back the owner's answers. It answers
+// nothing by itself, so who renews a lease and who commands a machine stay with the owner (docs/safety.md).
+import { type Instant, later, type MachineId, type NodeId, since } from '../types/index.ts';
+import type { Outbox } from './io.ts';
+import type { FrontAnswer, FrontReport, Report, TaskReport, WorkerAnswer } from './model.ts';
+
+type Answer = (a: WorkerAnswer) => void;
+
+interface Open {
+  report: Report;
+  answer: Answer;
+  deadline: Instant;
+  owner: NodeId;
+  /** Sent whole: there is nothing more to tell if the owner still does not know what it is about. */
+  whole: boolean;
+}
+/** The last report of a worker that the owner has answered through this node. */
+interface Read {
+  owner: NodeId;
+  report: Report;
+  at: Instant;
+}
+interface Parked {
+  report: Report;
+  answer: Answer;
+  until: Instant;
+}
+
+/** Workers drop answers after 4 s; one that is late within the service must not reach them later than that. */
+const PATIENCE_MS = 3500;
+/** While no owner is known, a report waits this long for the next one to answer it; the worker then tries another node. */
+const PARK_MS = 3000;
+/** Unanswered reports in a row after which the link is not used for a while: it may be cut without a word. */
+const STRIKES = 3;
+const REST_MS = 5000;
+/** What is remembered of workers that no longer come goes after this. */
+const FORGET_MS = 60_000;
+const TIDY_MS = 10_000;
+/** An owner whose link has just gone has probably ended: its workers would find nobody there. */
+const LATELY_MS = 5000;
+
+export class Fronts {
+  private readonly open = new Map<number, Open>();
+  private readonly read = new Map<MachineId, Read>();
+  private parked: Parked[] = [];
+  private nextId = 1;
+  private strikes = 0;
+  private restUntil: Instant | null = null;
+  private nextTidy = 0 as Instant;
+  private readonly lostAt = new Map<NodeId, Instant>();
+
+  constructor(private readonly io: Outbox) {}
+
+  /** Whether reports may be passed on now; if not, workers are sent to the owner themselves. */
+  get usable(): boolean {
+    if (this.restUntil !== null && this.io.now < this.restUntil) return false;
+    this.restUntil = null;
+    return true;
+  }
+
+  report(r: Report, owner: NodeId, answer: Answer): void {
+    const id = this.nextId++;
+    const last = this.read.get(r.machine);
+    const repeats = last !== undefined && last.owner === owner && repetition(r, last.report);
+    this.open.set(id, {
+      report: r,
+      answer,
+      deadline: later(this.io.now, PATIENCE_MS),
+      owner,
+      whole: !repeats,
+    });
+    this.send(id, owner, repeats ? shortened(r, last.report.seq) : { whole: r });
+  }
+
+  private send(id: number, owner: NodeId, report: FrontReport): void {
+    this.io.emit({ kind: 'peer', node: owner, message: { kind: 'front', id, report } });
+  }
+
+  answered(id: number, a: FrontAnswer): void {
+    const o = this.open.get(id);
+    if (o === undefined) return;
+    this.strikes = 0;
+    if (a !== null && a.kind === 'whole' && !o.whole) {
+      o.whole = true;
+      return this.send(id, o.owner, { whole: o.report });
+    }
+    this.open.delete(id);
+    if (a === null || a.kind === 'whole') return o.answer({ kind: 'elsewhere', node: null });
+    if (a.kind === 'orders') this.remember(o);
+    o.answer(a);
+  }
+
+  private remember(o: Open): void {
+    const { report, owner } = o;
+    const last = this.read.get(report.machine);
+    if (last !== undefined && last.owner === owner && !newer(report, last.report)) return;
+    // The list that is repeated stays one object, so that comparing the next report with it is cheap.
+    this.read.set(report.machine, { owner, report, at: this.io.now });
+  }
+
+  /** A report for which there is no owner yet: one is chosen within seconds, and answers it. */
+  park(report: Report, answer: Answer): void {
+    this.parked.push({ report, answer, until: later(this.io.now, PARK_MS) });
+  }
+
+  /** An owner can be reached, or this node has become it: what waited is handled as if it came now. */
+  unpark(handle: (r: Report, answer: Answer) => void): void {
+    for (const p of this.parked.splice(0)) handle(p.report, p.answer);
+  }
+
+  /** Whether the link to the node went down a moment ago. */
+  lostLately(node: NodeId): boolean {
+    const at = this.lostAt.get(node);
+    return at !== undefined && since(this.io.now, at) < LATELY_MS;
+  }
+
+  /** The link to a node is gone: nothing that it was asked will be answered. */
+  lost(node: NodeId): void {
+    this.lostAt.set(node, this.io.now);
+    for (const [id, o] of this.open)
+      if (o.owner === node) {
+        this.open.delete(id);
+        this.park(o.report, o.answer);
+      }
+    for (const [m, r] of this.read) if (r.owner === node) this.read.delete(m);
+  }
+
+  /** `owner`: the last that is known of, for workers that may reach it though this node does not. */
+  tick(owner: NodeId | null): void {
+    const { now } = this.io;
+    for (const [id, o] of this.open) {
+      if (now < o.deadline) break;
+      this.open.delete(id);
+      this.strike(o);
+    }
+    if (this.parked.length > 0) {
+      const over = this.parked.filter((p) => now >= p.until);
+      if (over.length > 0) this.parked = this.parked.filter((p) => now < p.until);
+      const node = owner !== null && this.lostLately(owner) ? null : owner;
+      for (const p of over) p.answer({ kind: 'elsewhere', node });
+    }
+    if (now < this.nextTidy) return;
+    this.nextTidy = later(now, TIDY_MS);
+    for (const [m, r] of this.read) if (since(now, r.at) > FORGET_MS) this.read.delete(m);
+  }
+
+  private strike(o: Open): void {
+    this.strikes++;
+    if (this.strikes === STRIKES) {
+      this.restUntil = later(this.io.now, REST_MS);
+      this.io.log('info', 'the owner answers no reports that are passed on; workers are sent to it', {
+        owner: o.owner,
+      });
+    }
+    if (this.strikes >= STRIKES) this.strikes = 0;
+    o.answer({ kind: 'elsewhere', node: o.owner });
+  }
+}
+
+const newer = (a: Report, b: Report): boolean =>
+  a.session > b.session || (a.session === b.session && a.seq > b.seq);
+
+function shortened(r: Report, sameAs: number): FrontReport {
+  const { machine, session, seq, token, noticeS } = r;
+  return { whole: null, machine, session, seq, token, noticeS, sameAs };
+}
+
+/** Whether the report says what an earlier one of the same session said, but for its number, token and notice. */
+function repetition(r: Report, than: Report): boolean {
+  return (
+    r.session === than.session &&
+    r.seq > than.seq &&
+    r.addr === than.addr &&
+    r.tasks.length === than.tasks.length &&
+    r.tasks.every((t, i) => sameTask(t, than.tasks[i]!))
+  );
+}
+
+const sameTask = (a: TaskReport, b: TaskReport): boolean =>
+  a.task === b.task &&
+  a.attempt === b.attempt &&
+  a.state === b.state &&
+  a.why === b.why &&
+  a.saved === b.saved;
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -10,6 +10,7 @@
 import type { JobSpec, Put, Settings, StateReply, UserAnswer } from './model.ts';
 import { checkNeeds } from './needcheck.ts';
 import { OPEN, recordPuts, type StoredJob } from './record.ts';
+import { Rank } from './statebudget.ts';
 
 /** Part of the region's write budget that one node may use for this. */
 const SHARE = 0.15;
@@ -65,6 +66,7 @@
       { kind: 'commit', conditions, puts: this.record(spec)!, drops: [] },
       (r) => this.onReply(spec, r, answer),
       WRITE_MS,
+      Rank.ask,
     );
   }
 
--- a/src/core/io.ts
+++ b/src/core/io.ts
@@ -12,6 +12,7 @@
   WorkerAnswer,
   WorkerReply,
 } from './model.ts';
+import { Rank, type StateBudget } from './statebudget.ts';
 
 export type Input =
   | { kind: 'user'; req: number; request: UserRequest }
@@ -75,15 +76,24 @@
   private effects: Effect[] = [];
   private nextTag = 1;
   private readonly open = new Map<number, (reply: never) => void>();
+  /** Requests to the state service that were given up before they were sent; told in the next step. */
+  private givenUp: ((reply: StateReply) => void)[] = [];
   readonly random: Random;
 
-  constructor(random: Random) {
+  constructor(
+    random: Random,
+    /** What the node may ask of the state service; without one, all is sent at once. */
+    readonly stateBudget: StateBudget | null = null,
+  ) {
     this.random = random;
   }
 
   begin(now: Instant, wall: WallTime): void {
     this.now = now;
     this.wall = wall;
+    this.stateBudget?.tick(now);
+    if (this.givenUp.length > 0)
+      for (const then of this.givenUp.splice(0)) then({ kind: 'refused', busy: true });
   }
 
   drain(): Effect[] {
@@ -106,8 +116,15 @@
     return tag;
   }
 
-  state(op: StateOp, then: (reply: StateReply) => void, timeoutMs = 1500): void {
-    this.emit({ kind: 'state', tag: this.tag(then), op, timeoutMs });
+  state(op: StateOp, then: (reply: StateReply) => void, timeoutMs = 1500, rank: Rank = Rank.work): void {
+    const { stateBudget: budget } = this;
+    if (budget === null) return this.emit({ kind: 'state', tag: this.tag(then), op, timeoutMs });
+    const heed = (r: StateReply): void => {
+      if (r.kind === 'refused' && r.busy) budget.busy(this.now);
+      then(r);
+    };
+    const send = () => this.emit({ kind: 'state', tag: this.tag(heed), op, timeoutMs });
+    budget.submit(this.now, rank, send, () => this.givenUp.push(then));
   }
 
   cloud(op: CloudOp, then: (reply: CloudReply) => void, timeoutMs = 4000): void {
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -14,6 +14,7 @@
 import type { Condition, Item, JobSpec, JobStatus, Priority, Put, UserAnswer } from './model.ts';
 import type { Progress } from './progress.ts';
 import { MORE, moreKeys, OPEN, partOf, recordPuts, type StoredJob } from './record.ts';
+import { Rank } from './statebudget.ts';
 import { bytesOf, Priorities, type Store, type WriteResult } from './store.ts';
 
 export const FINAL = 'f/';
@@ -387,14 +388,19 @@
   }
 
   readFinal(id: JobId, answer: (a: UserAnswer) => void): void {
-    this.io.state({ kind: 'get', key: FINAL + id }, (r) => {
-      if (r.kind === 'item') {
-        const { s: status, t } = r.item.value as FinalRecord;
-        this.rememberFinal(id, status, t);
-        answer({ kind: 'ended', id, status });
-      } else if (r.kind === 'missing') answer({ kind: 'not-found' });
-      else answer(retry('the state service does not answer'));
-    });
+    this.io.state(
+      { kind: 'get', key: FINAL + id },
+      (r) => {
+        if (r.kind === 'item') {
+          const { s: status, t } = r.item.value as FinalRecord;
+          this.rememberFinal(id, status, t);
+          answer({ kind: 'ended', id, status });
+        } else if (r.kind === 'missing') answer({ kind: 'not-found' });
+        else answer(retry('the state service does not answer'));
+      },
+      1500,
+      Rank.ask,
+    );
   }
 
   cancel(job: Job, answer: (a: UserAnswer) => void): void {
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -3,6 +3,7 @@
 import { type HoldId, type Instant, LONG_AGO, later, type NodeId, type Revision } from '../types/index.ts';
 import type { Outbox } from './io.ts';
 import type { Item, StateReply } from './model.ts';
+import { Rank } from './statebudget.ts';
 
 export const OWNER_KEY = 'share/0';
 export const HOLD_MS = 4000;
@@ -89,12 +90,13 @@
     if (this.io.now < this.nextTry) return;
     this.watching = true;
     if (this.watchFrom === null)
-      this.io.state({ kind: 'list', prefix: 'share/', after: null }, (r) => this.onList(r));
+      this.io.state({ kind: 'list', prefix: 'share/', after: null }, (r) => this.onList(r), 1500, Rank.hold);
     else
       this.io.state(
         { kind: 'watch', prefix: 'share/', after: this.watchFrom, waitMs: WATCH_MS },
         (r) => this.onChanges(r),
         WATCH_MS + 3000,
+        Rank.hold,
       );
   }
 
@@ -151,10 +153,15 @@
     if (io.now - this.unownedSince < this.rank * 200) return;
     this.busy = true;
     const sentAt = io.now;
-    io.state({ kind: 'grant', ttlMs: HOLD_MS }, (r) => {
-      if (r.kind !== 'granted') return this.backOff();
-      this.take(r.hold, sentAt);
-    });
+    io.state(
+      { kind: 'grant', ttlMs: HOLD_MS },
+      (r) => {
+        if (r.kind !== 'granted') return this.backOff();
+        this.take(r.hold, sentAt);
+      },
+      1500,
+      Rank.hold,
+    );
   }
 
   private backOff(): void {
@@ -166,17 +173,22 @@
     const { io } = this;
     const conditions = [{ key: OWNER_KEY, revision: 0 as Revision }];
     const puts = [{ key: OWNER_KEY, value: { node: this.me }, hold }];
-    io.state({ kind: 'commit', conditions, puts, drops: [] }, (r) => {
-      if (r.kind === 'committed') {
-        this.own(r.revision, hold, sentAt);
-        return;
-      }
-      // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
-      if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, () => {});
-      this.unownedSince = null;
-      this.watchFrom = null;
-      this.backOff();
-    });
+    io.state(
+      { kind: 'commit', conditions, puts, drops: [] },
+      (r) => {
+        if (r.kind === 'committed') {
+          this.own(r.revision, hold, sentAt);
+          return;
+        }
+        // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
+        if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, () => {}, 1500, Rank.hold);
+        this.unownedSince = null;
+        this.watchFrom = null;
+        this.backOff();
+      },
+      1500,
+      Rank.hold,
+    );
   }
 
   private own(term: Revision, hold: HoldId, sentAt: Instant): void {
@@ -214,6 +226,7 @@
         else this.nextExtend = later(io.now, RETRY_MS);
       },
       1000,
+      Rank.hold,
     );
   }
 
--- a/src/core/lookup.ts
+++ b/src/core/lookup.ts
@@ -4,6 +4,7 @@
 import { FINAL, type FinalRecord, retry } from './jobs.ts';
 import type { Condition, Settings, StateReply, UserAnswer } from './model.ts';
 import { moreKeys, OPEN, partOf, type StoredJob } from './record.ts';
+import { Rank } from './statebudget.ts';
 
 interface Waiting {
   id: JobId;
@@ -63,6 +64,7 @@
       { kind: 'commit', conditions, puts: [], drops: [] },
       (r) => this.onCompared(batch, r),
       1200,
+      Rank.ask,
     );
   }
 
@@ -79,8 +81,12 @@
     this.pump();
   }
 
+  private get(key: string, then: (r: StateReply) => void): void {
+    this.io.state({ kind: 'get', key }, then, 1500, Rank.ask);
+  }
+
   private readFinal(w: Waiting): void {
-    this.io.state({ kind: 'get', key: FINAL + w.id }, (r) => {
+    this.get(FINAL + w.id, (r) => {
       if (r.kind !== 'item') return w.answer(retry('the state service does not answer'));
       const a: UserAnswer = {
         kind: 'ended',
@@ -93,7 +99,7 @@
   }
 
   private readOpen(w: Waiting): void {
-    this.io.state({ kind: 'get', key: OPEN + w.id }, (r) => {
+    this.get(OPEN + w.id, (r) => {
       if (r.kind === 'item') {
         const v = r.item.value as StoredJob;
         if (v.c === 1) w.answer({ kind: 'ended', id: w.id, status: 'cancelled' });
@@ -139,7 +145,7 @@
     const next = (): void => {
       const key = keys.shift();
       if (key === undefined) return then(all);
-      this.io.state({ kind: 'get', key }, (r) => {
+      this.get(key, (r) => {
         if (r.kind !== 'item') return then(null);
         all.push(...partOf(r.item));
         next();
@@ -156,10 +162,10 @@
 
   /** Done, cancelled, or what it awaits in turn; the final record first, so that none is missed between the two. */
   private readNeed(id: JobId, then: (n: 'done' | 'cancelled' | JobId[] | null) => void, again = true): void {
-    this.io.state({ kind: 'get', key: FINAL + id }, (f) => {
+    this.get(FINAL + id, (f) => {
       if (f.kind === 'item') return then((f.item.value as FinalRecord).s);
       if (f.kind !== 'missing') return then(null);
-      this.io.state({ kind: 'get', key: OPEN + id }, (o) => {
+      this.get(OPEN + id, (o) => {
         if (o.kind === 'item') {
           const v = o.item.value as StoredJob;
           if (v.c === 1) then('cancelled');
@@ -177,7 +183,8 @@
       const batch = ids.slice(from, from + this.perBatch);
       if (batch.length === 0) return then(found);
       if (!this.budget.take(this.io.now)) return then(null);
-      this.io.state({ kind: 'commit', conditions: batch.flatMap(neither), puts: [], drops: [] }, (r) => {
+      const op = { kind: 'commit' as const, conditions: batch.flatMap(neither), puts: [], drops: [] };
+      const read = (r: StateReply): void => {
         if (r.kind !== 'committed' && r.kind !== 'conflict') return then(null);
         const there = new Set(r.kind === 'conflict' ? r.failed : []);
         for (const id of batch) {
@@ -185,7 +192,8 @@
           else if (there.has(OPEN + id)) found.set(id, 'open');
         }
         compare(from + batch.length);
-      });
+      };
+      this.io.state(op, read, 1500, Rank.ask);
     };
     compare(0);
   }
@@ -195,7 +203,7 @@
     const [id, ...rest] = ids;
     if (id === undefined) return then(null);
     if (!this.budget.take(this.io.now)) return then('unclear');
-    this.io.state({ kind: 'get', key: OPEN + id }, (r) => {
+    this.get(OPEN + id, (r) => {
       // What is no longer open was no service, or was cancelled.
       if (r.kind === 'item' && (r.item.value as StoredJob).s.kind === 'service') then(id);
       else if (r.kind === 'item' || r.kind === 'missing') this.services(rest, then);
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -44,6 +44,10 @@
   /** The session whose lease has run out. */
   endedSession = 0;
   seq = -1;
+  /** The tasks of the report with this number, as it listed them. */
+  listed: readonly TaskReport[] | null = null;
+  /** All that was listed is known, and nothing has come or gone since: the same list again says nothing new. */
+  plain = false;
   seenToken = 0;
   /** This term's token has been seen by the machine and a report made after that has been read. */
   synced = false;
@@ -207,7 +211,9 @@
     m.up = true;
     m.lastReport = this.io.now;
     this.setNotice(m, r.noticeS);
-    this.readTasks(m, r);
+    if (m.plain && r.tasks === m.listed) m.idleSince = m.empty ? m.idleSince : this.io.now;
+    else this.readTasks(m, r);
+    m.listed = r.tasks;
     if (r.token === this.token && !m.synced) {
       m.synced = true;
       this.io.log('debug', 'machine heard', { machine: m.id, tasks: m.entries.size });
@@ -330,6 +336,8 @@
     }
     for (const key of m.exited.keys()) if (!listed.has(key)) m.exited.delete(key);
     if (!m.empty) m.idleSince = this.io.now;
+    // A task sent since is missing from the list: its absence from the next one tells something.
+    m.plain = m.exited.size === 0 && m.strays.length === 0 && m.entries.size === r.tasks.length;
   }
 
   private present(m: Machine, key: string, t: TaskReport): void {
@@ -391,6 +399,7 @@
         machines: [old.machine, m.id],
       });
     job.addEntry(e);
+    m.plain = false;
     m.entries.set(entryKey(`${job.id}/${index}`, attempt), e);
     this.countUsed(m, job, 1);
     this.rooms.update(m);
@@ -402,6 +411,7 @@
     const { job, index } = e;
     const key = entryKey(`${job.id}/${index}`, e.attempt);
     if (!m.entries.delete(key)) return;
+    m.plain = false;
     job.dropEntry(e);
     if (e.runningAt !== null) job.running--;
     this.countUsed(m, job, -1);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -219,12 +219,31 @@
 export type WorkerReply = { kind: 'report'; report: Report; executed: boolean } | { kind: 'no-answer' };
 
 export type PeerMessage =
-  /** `chains`: the sender knows of jobs that await others; versions before 0.2 do not say. */
-  | { kind: 'hello'; node: NodeId; owner: Revision; chains: boolean }
+  /** `chains`: the sender knows of jobs that await others; versions before 0.2 do not say. `fronts`: it knows `front`. */
+  | { kind: 'hello'; node: NodeId; owner: Revision; chains: boolean; fronts: boolean }
   | { kind: 'ask'; id: number; request: UserRequest }
   | { kind: 'reply'; id: number; answer: UserAnswer | null }
   | { kind: 'relay'; id: number; report: Report }
-  | { kind: 'relayed'; id: number; answer: WorkerAnswer | null };
+  | { kind: 'relayed'; id: number; answer: WorkerAnswer | null }
+  | { kind: 'front'; id: number; report: FrontReport }
+  | { kind: 'fronted'; id: number; answer: FrontAnswer };
+
+/** A report as one node passes it on to another: whole, or as a repetition of one that was read before. */
+export type FrontReport =
+  | { whole: Report }
+  | {
+      whole: null;
+      machine: MachineId;
+      session: number;
+      seq: number;
+      token: Token;
+      noticeS: number | null;
+      /** Its machine, tasks and their states are those of the report with this number, of the same session. */
+      sameAs: number;
+    };
+
+/** `whole`: what it repeats is not the report read last. null: the node asked does not own the machine. */
+export type FrontAnswer = WorkerAnswer | { kind: 'whole' } | null;
 
 export interface TimedInput {
   wall: WallTime;
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -17,6 +17,7 @@
 import { BITS, type Progress } from './progress.ts';
 import { MORE, OPEN } from './record.ts';
 import { MACHINE, type Roster, type RosterMachine, type RosterPage } from './roster.ts';
+import { Rank } from './statebudget.ts';
 
 const RETRY_MS = 250;
 const PROBE_MS = 2000;
@@ -81,7 +82,7 @@
     if (this.busy || this.unreadable || this.io.now < this.retryAt) return;
     this.busy = true;
     const prefix = { types: TYPE, jobs: OPEN, more: MORE, bits: BITS, machines: MACHINE }[this.step];
-    this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r));
+    this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r), 1500, Rank.owner);
   }
 
   private again(): void {
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -10,7 +10,16 @@
 import { type Entry, type Job, Jobs, retry } from './jobs.ts';
 import type { Lookup } from './lookup.ts';
 import { type Machine, Machines } from './machines.ts';
-import type { Command, JobSpec, Report, Settings, UserAnswer, WorkerAnswer } from './model.ts';
+import type {
+  Command,
+  FrontAnswer,
+  FrontReport,
+  JobSpec,
+  Report,
+  Settings,
+  UserAnswer,
+  WorkerAnswer,
+} from './model.ts';
 import { checkNeeds } from './needcheck.ts';
 import { Needs } from './needs.ts';
 import { Newcomers } from './newcomers.ts';
@@ -216,6 +225,25 @@
     this.answerHeld(h);
   }
 
+  /**
+   * A report that another node passes on. One that repeats an earlier one is read as that one with a new number, and
+   * only if that was the last to be read: otherwise it is asked for whole.
+   */
+  front(f: FrontReport, answer: (a: FrontAnswer) => void): void {
+    if (f.whole !== null) return this.report(f.whole, answer);
+    if (!this.recovery.loaded) return answer({ kind: 'orders', token: this.machines.token, commands: [] });
+    const m = this.machines.all.get(f.machine);
+    if (m === undefined || m.addr === null || m.listed === null) return answer({ kind: 'whole' });
+    if (m.session !== f.session || m.seq !== f.sameAs) return answer({ kind: 'whole' });
+    const { machine, session, seq, token, noticeS } = f;
+    const { addr, zone, spot, listed } = m;
+    const tasks = listed as Report['tasks'];
+    this.report(
+      { machine, addr, type: m.type.name, zone, spot, session, seq, token, noticeS, tasks },
+      answer,
+    );
+  }
+
   /** Answers a held report that has something to tell, or whose time is up. */
   private answerHeld(h: Held): void {
     const { m } = h;
--- /dev/null
+++ b/src/core/statebudget.ts
@@ -0,0 +1,128 @@
+// One budget for all that a node asks of the state service. The service counts requests of all nodes together and
+// refuses what is beyond its limit, whatever it is for: the renewal of a hold must never be among that, and must
+// never wait behind a user's question.
+import { type Instant, LONG_AGO, later } from '../types/index.ts';
+
+/** In which order requests are sent while the budget is short. */
+export const Rank = {
+  /** Holds, and who owns the share: sent at once, in debt if need be. */
+  hold: 0,
+  /** What a new owner reads, and what an owner writes. */
+  owner: 1,
+  /** What work in progress waits for. */
+  work: 2,
+  /** Users' questions; given up when they cannot be asked soon. */
+  ask: 3,
+} as const;
+export type Rank = (typeof Rank)[keyof typeof Rank];
+
+interface Waiting {
+  rank: Rank;
+  send: () => void;
+  giveUp: () => void;
+  since: Instant;
+}
+
+/** Part of the service's limit that all nodes together keep to; the rest is for clocks that differ and for tries in vain. */
+const USED = 0.94;
+/** What each node but the owner may use while there is an owner. */
+const OTHERS = 0.14;
+/** A question that cannot be sent within this is answered by asking the user to come back. */
+const ASK_MS = 800;
+const MAX_ASKS = 400;
+/** After a refusal for too many requests: so much slower, and back by this much a second. */
+const SLOWER = 0.6;
+const SLOWEST = 0.2;
+const RECOVER_PER_S = 0.1;
+const SLOW_EVERY_MS = 500;
+
+export class StateBudget {
+  private level: number;
+  private at: Instant | null = null;
+  private share: number;
+  /** Below 1 after refusals. */
+  private pace = 1;
+  private slowedAt: Instant = LONG_AGO;
+  private readonly queues: Waiting[][] = [[], [], [], []];
+  /** Requests sent, and refused as too many; for operators. */
+  sent = 0;
+  refused = 0;
+
+  constructor(
+    private readonly rps: number,
+    private readonly nodes: number,
+  ) {
+    this.share = this.shareOf(false);
+    this.level = this.rate;
+  }
+
+  /** The owner needs most; what is left is divided among the others, so that the sum stays below the limit. */
+  setOwner(owner: boolean): void {
+    this.share = this.shareOf(owner);
+  }
+
+  private shareOf(owner: boolean): number {
+    const others = Math.min(OTHERS, USED / (2 * this.nodes));
+    return owner ? USED - others * (this.nodes - 1) : others;
+  }
+
+  private get rate(): number {
+    return Math.max(1, this.rps * this.share) * this.pace;
+  }
+
+  /** Sends the request now, or when the budget allows; `giveUp` if that is too late to be of use. */
+  submit(now: Instant, rank: Rank, send: () => void, giveUp: () => void): void {
+    this.refill(now);
+    if (rank === Rank.hold) return this.spend(send);
+    const queue = this.queues[rank]!;
+    if (this.level >= 1 && this.clearUpTo(rank)) return this.spend(send);
+    if (rank === Rank.ask && queue.length >= MAX_ASKS) return giveUp();
+    queue.push({ rank, send, giveUp, since: now });
+  }
+
+  private clearUpTo(rank: Rank): boolean {
+    for (let r = 0; r <= rank; r++) if (this.queues[r]!.length > 0) return false;
+    return true;
+  }
+
+  private spend(send: () => void): void {
+    this.level -= 1;
+    this.sent++;
+    send();
+  }
+
+  private refill(now: Instant): void {
+    if (this.at !== null) {
+      const s = Math.max(0, now - this.at) / 1000;
+      this.pace = Math.min(1, this.pace + s * RECOVER_PER_S);
+      this.level = Math.min(this.rate, this.level + s * this.rate);
+    }
+    this.at = now;
+  }
+
+  /** Sends what has become due, and gives up on questions that came too early. */
+  tick(now: Instant): void {
+    this.refill(now);
+    for (const queue of this.queues)
+      while (queue.length > 0 && this.level >= 1) {
+        const w = queue.shift()!;
+        if (w.rank === Rank.ask && now - w.since > ASK_MS) w.giveUp();
+        else this.spend(w.send);
+      }
+    const asks = this.queues[Rank.ask]!;
+    while (asks.length > 0 && now - asks[0]!.since > ASK_MS) asks.shift()!.giveUp();
+  }
+
+  /** The service refused a request as one too many: all slow down, whoever used it up. */
+  busy(now: Instant): void {
+    this.refused++;
+    this.level = Math.min(this.level, 0);
+    if (now < later(this.slowedAt, SLOW_EVERY_MS)) return;
+    this.slowedAt = now;
+    this.pace = Math.max(SLOWEST, this.pace * SLOWER);
+  }
+
+  get waiting(): number {
+    return this.queues.reduce((n, q) => n + q.length, 0);
+  }
+}
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -3,6 +3,7 @@
 import { Budget, type Outbox } from './io.ts';
 import { OWNER_KEY } from './leadership.ts';
 import type { Condition, Item, Put, Settings, StateReply } from './model.ts';
+import { Rank } from './statebudget.ts';
 
 export type WriteResult =
   | { kind: 'ok'; revision: Revision }
@@ -130,7 +131,12 @@
     const conditions = [{ key: OWNER_KEY, revision: this.term }, ...batch.flatMap((w) => w.conditions)];
     const puts = batch.flatMap((w) => w.puts);
     const drops = batch.flatMap((w) => w.drops);
-    this.io.state({ kind: 'commit', conditions, puts, drops }, (r) => this.onReply(batch, r), 2000);
+    this.io.state(
+      { kind: 'commit', conditions, puts, drops },
+      (r) => this.onReply(batch, r),
+      2000,
+      Rank.owner,
+    );
   }
 
   private onReply(batch: Write[], r: StateReply): void {
@@ -182,18 +188,23 @@
 
   /** A write whose condition failed: either its own first copy went through, or something else is there. */
   private settle(w: Write): void {
-    this.io.state({ kind: 'get', key: w.check }, (r) => {
-      if (r.kind === 'item') {
-        const mine = w.nonce !== null && (r.item.value as { w?: string } | null)?.w === w.nonce;
-        w.done(mine ? { kind: 'ok', revision: r.item.revision } : { kind: 'conflict', item: r.item });
-      } else if (r.kind === 'missing') {
-        if (w.nonce === null) w.done({ kind: 'ok', revision: 0 as Revision });
-        else w.done({ kind: 'conflict', item: null });
-      } else {
-        this.notBefore = later(this.io.now, RETRY_MS);
-        this.queue.unshift(w);
-      }
-    });
+    this.io.state(
+      { kind: 'get', key: w.check },
+      (r) => {
+        if (r.kind === 'item') {
+          const mine = w.nonce !== null && (r.item.value as { w?: string } | null)?.w === w.nonce;
+          w.done(mine ? { kind: 'ok', revision: r.item.revision } : { kind: 'conflict', item: r.item });
+        } else if (r.kind === 'missing') {
+          if (w.nonce === null) w.done({ kind: 'ok', revision: 0 as Revision });
+          else w.done({ kind: 'conflict', item: null });
+        } else {
+          this.notBefore = later(this.io.now, RETRY_MS);
+          this.queue.unshift(w);
+        }
+      },
+      1500,
+      Rank.owner,
+    );
   }
 }
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,17 +1,33 @@
 // Frames between controllers: a varint-free 4-byte length, then one protobuf Envelope.
 import type {
+  Command,
+  ExitReason,
+  FrontAnswer,
+  FrontReport,
   JobSpec,
   JobStatus,
   PeerMessage,
   Report,
+  TaskReport,
+  TaskState,
   UserAnswer,
   UserRequest,
   WorkerAnswer,
 } from '../core/model.ts';
-import type { JobId, NodeId, Revision } from '../types/index.ts';
+import type {
+  Attempt,
+  JobId,
+  MachineId,
+  NodeId,
+  Revision,
+  TaskId,
+  Token,
+  TypeName,
+  ZoneName,
+} from '../types/index.ts';
 import { swiftford } from './generated/peer.js';
 
-const { Envelope, Ask, Reply } = swiftford.peer;
+const { Envelope, Ask, Reply, Fronted } = swiftford.peer;
 const MAX_FRAME = 256 * 1024;
 
 function askFields(id: number, r: UserRequest): swiftford.peer.IAsk {
@@ -50,16 +66,65 @@
   }
 }
 
+/** Numbers on the wire are places in these lists: new names go to the end. */
+const STATES: TaskState[] = ['fetching', 'waiting', 'running', 'saving', 'exited'];
+const REASONS: (ExitReason | null)[] = [
+  null,
+  'done',
+  'stopped',
+  'peers',
+  'alone',
+  'error',
+  'no_room',
+  'busy',
+  'unknown',
+];
+const OPS: Command['op'][] = ['start', 'stop', 'forget'];
+
+function frontFields(id: number, f: FrontReport): swiftford.peer.IFront {
+  if (f.whole === null) {
+    const { machine, session, seq, token, noticeS, sameAs } = f;
+    return { id, machine, session, seq, token, noticeS, sameAs };
+  }
+  const { machine, session, seq, token, noticeS, addr, type, zone, spot, tasks } = f.whole;
+  const pieces = tasks.map((t) => ({
+    task: t.task,
+    attempt: t.attempt,
+    state: STATES.indexOf(t.state),
+    why: REASONS.indexOf(t.why),
+    saved: t.saved,
+  }));
+  return { id, machine, session, seq, token, noticeS, addr, type, zone, spot, pieces };
+}
+
+function frontedFields(id: number, a: FrontAnswer): swiftford.peer.IFronted {
+  const K = Fronted.Kind;
+  if (a === null) return { id, kind: K.NONE };
+  if (a.kind === 'whole') return { id, kind: K.WHOLE };
+  if (a.kind === 'elsewhere') return { id, kind: K.ELSEWHERE, node: a.node ?? '' };
+  const orders = a.commands.map((c) => ({
+    op: OPS.indexOf(c.op),
+    task: c.task,
+    attempt: c.attempt,
+    graceS: c.op === 'stop' ? c.graceS : 0,
+  }));
+  return { id, kind: K.ORDERS, token: a.token, orders };
+}
+
 function envelopeOf(m: PeerMessage): swiftford.peer.IEnvelope {
   switch (m.kind) {
     case 'hello':
-      return { hello: { node: m.node, owner: m.owner, chains: m.chains } };
+      return { hello: { node: m.node, owner: m.owner, chains: m.chains, fronts: m.fronts } };
     case 'ask':
       return { ask: askFields(m.id, m.request) };
     case 'reply':
       return { reply: replyFields(m.id, m.answer) };
     case 'relay':
       return { relay: { id: m.id, report: JSON.stringify(m.report) } };
+    case 'front':
+      return { front: frontFields(m.id, m.report) };
+    case 'fronted':
+      return { fronted: frontedFields(m.id, m.answer) };
     case 'relayed':
       return { relayed: { id: m.id, answer: m.answer === null ? '' : JSON.stringify(m.answer) } };
   }
@@ -114,6 +179,61 @@
   }
 }
 
+function decodePiece(p: swiftford.peer.IPiece): TaskReport {
+  const state = STATES[p.state ?? 0];
+  if (state === undefined) throw new Error('a state that no peer of ours would send');
+  const why = REASONS[p.why ?? 0] ?? null;
+  return {
+    task: (p.task ?? '') as TaskId,
+    attempt: Number(p.attempt ?? 0) as Attempt,
+    state,
+    why: state === 'exited' ? (why ?? 'error') : null,
+    saved: p.saved === true,
+  };
+}
+
+function decodeFront(f: swiftford.peer.IFront): FrontReport {
+  const head = {
+    machine: (f.machine ?? '') as MachineId,
+    session: Number(f.session ?? 0),
+    seq: Number(f.seq ?? 0),
+    token: Number(f.token ?? 0) as Token,
+    noticeS: f.noticeS ?? null,
+  };
+  const sameAs = Number(f.sameAs ?? 0);
+  if (sameAs > 0) return { whole: null, ...head, sameAs };
+  return {
+    whole: {
+      ...head,
+      addr: f.addr ?? '',
+      type: (f.type ?? '') as TypeName,
+      zone: (f.zone ?? '') as ZoneName,
+      spot: f.spot === true,
+      tasks: (f.pieces ?? []).map(decodePiece),
+    },
+  };
+}
+
+function decodeOrder(o: swiftford.peer.IOrder): Command {
+  const op = OPS[o.op ?? 0];
+  const of = { task: (o.task ?? '') as TaskId, attempt: Number(o.attempt ?? 0) as Attempt };
+  if (op === undefined) throw new Error('a command that no peer of ours would send');
+  return op === 'stop' ? { op, ...of, graceS: o.graceS ?? 0 } : { op, ...of };
+}
+
+function decodeFronted(f: swiftford.peer.IFronted): FrontAnswer {
+  const K = Fronted.Kind;
+  if (f.kind === K.ORDERS)
+    return {
+      kind: 'orders',
+      token: Number(f.token ?? 0) as Token,
+      commands: (f.orders ?? []).map(decodeOrder),
+    };
+  if (f.kind === K.WHOLE) return { kind: 'whole' };
+  if (f.kind === K.ELSEWHERE) return { kind: 'elsewhere', node: f.node ? (f.node as NodeId) : null };
+  return null;
+}
+
 function decodePeer(body: Uint8Array): PeerMessage | null {
   const e = Envelope.decode(body);
   if (e.hello)
@@ -122,7 +242,10 @@
       node: e.hello.node as NodeId,
       owner: Number(e.hello.owner ?? 0) as Revision,
       chains: e.hello.chains === true,
+      fronts: e.hello.fronts === true,
     };
+  if (e.front) return { kind: 'front', id: e.front.id ?? 0, report: decodeFront(e.front) };
+  if (e.fronted) return { kind: 'fronted', id: e.fronted.id ?? 0, answer: decodeFronted(e.fronted) };
   if (e.ask) return { kind: 'ask', id: e.ask.id ?? 0, request: decodeAsk(e.ask) };
   if (e.reply) return { kind: 'reply', id: e.reply.id ?? 0, answer: decodeAnswer(e.reply) };
   if (e.relay)
--- a/src/runtime/peers.ts
+++ b/src/runtime/peers.ts
@@ -8,7 +8,7 @@
 const REDIAL_MS = 500;
 const DIAL_TIMEOUT_MS = 1500;
 /** A link that takes nothing for this long is given up: behind a cut it would swallow messages. */
-const STUCK_BYTES = 512 * 1024;
+const STUCK_BYTES = 2 * 1024 * 1024;
 
 export interface PeersHost {
   up(node: NodeId): void;
@@ -19,6 +19,8 @@
 class Link {
   private socket: Socket | null = null;
   private up = false;
+  /** What was said in this turn of the loop: one write for all of it. */
+  private pending: Buffer[] = [];
   constructor(
     private readonly node: NodeId,
     private readonly addr: string,
@@ -48,9 +50,16 @@
   }
 
   send(m: PeerMessage): void {
+    if (!this.up || this.socket === null) return;
+    if (this.pending.push(encodePeer(m)) === 1) setImmediate(() => this.flush());
+  }
+
+  private flush(): void {
+    const frames = this.pending;
+    this.pending = [];
     if (!this.up || this.socket === null) return;
     if (this.socket.writableLength > STUCK_BYTES) this.socket.destroy();
-    else this.socket.write(encodePeer(m));
+    else this.socket.write(frames.length === 1 ? frames[0]! : Buffer.concat(frames));
   }
 }
 
--- /dev/null
+++ b/test/fronts.test.ts
@@ -0,0 +1,237 @@
+// Workers spread over all controllers, and one budget for what is asked of the state service (docs/scale.md).
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { FrontAnswer, FrontReport, PeerMessage, Report } from '../src/core/model.ts';
+import type { Share } from '../src/core/share.ts';
+import { Rank, StateBudget } from '../src/core/statebudget.ts';
+import type { Instant, NodeId } from '../src/types/index.ts';
+import { job, World } from './support/world.ts';
+
+const shareOf = (w: World): Share => w.nodes.get(w.owner!)!.share!;
+const short = (r: Report, sameAs: number): FrontReport => {
+  const { machine, session, seq, token, noticeS } = r;
+  return { whole: null, machine, session, seq, token, noticeS, sameAs };
+};
+
+test('workers stay with the node they came to; most of what is passed on only repeats, and work is done', () => {
+  const w = new World();
+  const said = { whole: 0, short: 0 };
+  w.tapPeer = (m: PeerMessage) => {
+    if (m.kind === 'front') said[m.report.whole === null ? 'short' : 'whole']++;
+    return true;
+  };
+  w.runS = 20;
+  w.submit(job('run-1', { tasks: 12, cpus: 4 }));
+  assert.ok(w.until(() => w.isDone('run-1'), 80));
+  assert.ok(said.short > 2 * said.whole && said.whole > 0, JSON.stringify(said));
+  assert.ok(Math.max(...[...w.workers.values()].map((x) => x.moves)) <= 1);
+  assert.deepEqual(w.broken, []);
+});
+
+/** An owner with one idle machine that another node speaks for. */
+function fronted() {
+  const w = new World({}, ['node-0']);
+  w.submit(job('run-0'));
+  assert.ok(w.until(() => w.isDone('run-0')));
+  const worker = [...w.workers.values()][0]!;
+  w.run(5);
+  worker.die();
+  w.run(3);
+  const answers: FrontAnswer[] = [];
+  const pass = (f: FrontReport) => w.nodes.get('node-0')!.share!.front(f, (a) => answers.push(a));
+  const report = (): Report => ({
+    ...worker.report(),
+    token: w.nodes.get('node-0')!.leadership.term as never,
+  });
+  return { w, answers, pass, report };
+}
+const starts = (a: FrontAnswer | undefined) =>
+  a?.kind === 'orders' ? a.commands.filter((c) => c.op === 'start') : [];
+
+test('a start that was lost is found out from a report that only repeats, and is made again', () => {
+  const { w, answers, pass, report } = fronted();
+  const first = report();
+  pass({ whole: first });
+  w.ask('node-0', { op: 'submit', spec: job('run-1') });
+  w.run(2.5);
+  assert.equal(starts(answers.at(-1)).length, 1, 'started in the answer, which the worker never got');
+  // The worker says what it said before: that the task is missing must be seen though the list has not changed.
+  pass(short(report(), first.seq));
+  w.run(2.5);
+  assert.ok(w.logs.some((l) => l.includes('task not on its machine')));
+  const [again] = starts(answers.at(-1));
+  assert.equal(again?.task, 'run-1/0');
+});
+
+test('a repetition of anything but the report that was read last is asked for whole', () => {
+  const { w, answers, pass, report } = fronted();
+  const [one, two, three] = [report(), report(), report()];
+  pass({ whole: one });
+  pass({ whole: two });
+  pass(short(three, one.seq));
+  assert.deepEqual(answers.at(-1), { kind: 'whole' });
+  pass(short({ ...report(), session: 2 }, two.seq));
+  assert.deepEqual(answers.at(-1), { kind: 'whole' });
+  pass(short({ ...report(), machine: 'i-404' as never }, 1));
+  assert.deepEqual(answers.at(-1), { kind: 'whole' });
+  pass(short(report(), two.seq));
+  w.run(2.5);
+  assert.equal(answers.at(-1)?.kind, 'orders');
+});
+
+test('lost, repeated and late messages between nodes neither double nor lose a task', () => {
+  const w = new World();
+  w.runS = 6;
+  let n = 0;
+  w.tapPeer = (m) => (m.kind !== 'front' && m.kind !== 'fronted') || ++n % 7 !== 0;
+  for (let i = 0; i < 8; i++) w.submit(job(`run-${i}`, { tasks: 6, cpus: 3 }));
+  w.run(10);
+  w.cut('node-1', w.owner!, 'hold');
+  w.run(6);
+  w.heal('node-1', w.owner!);
+  w.crash(w.owner!);
+  for (let i = 0; i < 8; i++) {
+    const asker = [...w.nodes.keys()][0]!;
+    assert.ok(
+      w.until(() => w.isDone(`run-${i}`, asker), 200),
+      `run-${i}`,
+    );
+  }
+  assert.deepEqual(w.broken, []);
+});
+
+test('while an owner is chosen reports wait for it: workers are not sent round, and no task is lost', () => {
+  const w = new World();
+  w.runS = 60;
+  w.submit(job('run-1', { tasks: 9, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 5 && w.holders('run-1').length <= 9));
+  w.run(6);
+  const before = [...w.workers.values()].reduce((sum, x) => sum + x.starts, 0);
+  const old = w.owner!;
+  const at = [...w.workers.values()].filter((x) => x.node !== old);
+  const moves = at.reduce((sum, x) => sum + x.moves, 0);
+  w.crash(old);
+  w.run(15);
+  assert.notEqual(w.owner, old);
+  assert.ok(shareOf(w).recovery.complete);
+  assert.ok(at.length > 0);
+  // Each waits once for 3 s, at most twice if its report came just after the crash.
+  const moved = at.reduce((sum, x) => sum + x.moves, 0) - moves;
+  assert.ok(moved <= 2 * at.length, `${moved} moves of ${at.length} workers`);
+  assert.equal(
+    [...w.workers.values()].reduce((sum, x) => sum + x.starts, 0),
+    before,
+  );
+  assert.deepEqual(w.broken, []);
+});
+
+test('a front whose owner stops answering sends its workers there themselves, and tries again later', () => {
+  const w = new World();
+  w.runS = 40;
+  w.submit(job('run-1', { tasks: 6, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 3));
+  w.run(4);
+  const owner = w.owner!;
+  // The link is up but answers nothing; workers reach the owner all the same.
+  w.tapPeer = (m) => m.kind !== 'fronted';
+  w.run(25);
+  for (const x of w.workers.values()) assert.equal(x.session, 1, `${x.id} lost its lease`);
+  assert.equal(w.owner, owner);
+  w.tapPeer = null;
+  assert.ok(w.until(() => w.isDone('run-1'), 80));
+  assert.deepEqual(w.broken, []);
+});
+
+// ---- the budget for the state service
+
+const at = (ms: number) => ms as Instant;
+
+test('holds are renewed at once whatever waits; questions wait briefly and are given up, in order of rank', () => {
+  const b = new StateBudget(10, 3);
+  const log: string[] = [];
+  const put = (now: number, rank: Rank, name: string) =>
+    b.submit(
+      at(now),
+      rank,
+      () => log.push(name),
+      () => log.push(`${name} given up`),
+    );
+  for (let i = 0; i < 40; i++) put(0, Rank.ask, `ask-${i}`);
+  put(1, Rank.hold, 'extend');
+  assert.equal(log.at(-1), 'extend');
+  put(2, Rank.owner, 'write');
+  log.length = 0;
+  for (let t = 100; t <= 2000; t += 100) b.tick(at(t));
+  assert.equal(
+    log.find((l) => !l.endsWith('given up')),
+    'write',
+  );
+  assert.ok(log.filter((l) => l.endsWith('given up')).length > 30);
+  assert.equal(b.waiting, 0);
+});
+
+test('what all nodes together send stays below the limit, whoever owns', () => {
+  const rps = 90;
+  const nodes = [true, false, false].map((owner) => {
+    const b = new StateBudget(rps, 3);
+    b.setOwner(owner);
+    return b;
+  });
+  let sent = 0;
+  const second = 1000;
+  for (let t = 0; t < 20 * second; t += 10)
+    for (const b of nodes) {
+      b.submit(
+        at(t),
+        Rank.work,
+        () => sent++,
+        () => {},
+      );
+      b.tick(at(t));
+    }
+  // Everything that is allowed for is used, and no more: bursts of a second's worth come on top once.
+  assert.ok(sent <= rps * 0.95 * 21 && sent >= rps * 0.85 * 20, `${sent}`);
+});
+
+test('a refusal slows the node once, not once for each request under way, and it comes back', () => {
+  const b = new StateBudget(100, 1);
+  b.setOwner(true);
+  for (let i = 0; i < 50; i++) b.busy(at(i));
+  const count = (from: number, ms: number): number => {
+    const before = b.sent;
+    for (let t = from; t < from + ms; t += 10) {
+      b.submit(
+        at(t),
+        Rank.work,
+        () => {},
+        () => {},
+      );
+      b.tick(at(t));
+    }
+    return b.sent - before;
+  };
+  const slow = count(100, 1000);
+  assert.ok(slow > 30 && slow < 80, `${slow}`);
+  count(1100, 9000);
+  assert.ok(count(10_100, 1000) > 85);
+});
+
+test('with half of all requests refused the owner keeps the share, tries do not multiply, and work is done', () => {
+  const w = new World();
+  w.runS = 3;
+  w.submit(job('run-0'));
+  w.run(3);
+  const term = w.nodes.get(w.owner!)!.leadership.term;
+  w.state.halfRefused = true;
+  for (let i = 1; i <= 12; i++) w.ask(`node-${i % 3}`, { op: 'submit', spec: job(`run-${i}`, { tasks: 3 }) });
+  w.run(1);
+  const before = w.state.refusals;
+  w.run(20);
+  // 200 requests a second are allowed; retries of what is refused stay far below that.
+  assert.ok(w.state.refusals - before < 20 * 60, `${w.state.refusals - before} requests`);
+  assert.equal(w.nodes.get(w.owner!)!.leadership.term, term);
+  w.state.halfRefused = false;
+  for (let i = 1; i <= 12; i++) w.submit(job(`run-${i}`, { tasks: 3 }));
+  for (let i = 0; i <= 12; i++) assert.ok(w.until(() => w.isDone(`run-${i}`, 'node-2' as NodeId), 60));
+  assert.deepEqual(w.broken, []);
+});
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { defaults, readOptions } from '../src/cli/options.ts';
-import type { PeerMessage, StateOp } from '../src/core/model.ts';
+import type { Command, PeerMessage, Report, StateOp } from '../src/core/model.ts';
 import { formatReply } from '../src/http/server.ts';
 import { decodeCloudReply } from '../src/protocol/cloud.ts';
 import { encodeUserAnswer, InvalidMessage, parseJob } from '../src/protocol/job.ts';
@@ -10,7 +10,18 @@
 import { parseSettings } from '../src/protocol/settings.ts';
 import { decodeStateReply, encodeStateOp } from '../src/protocol/state.ts';
 import { encodeWorkerAnswer, parseReport } from '../src/protocol/worker.ts';
-import type { Attempt, HoldId, JobId, NodeId, Revision, TaskId, Token } from '../src/types/index.ts';
+import type {
+  Attempt,
+  HoldId,
+  JobId,
+  MachineId,
+  NodeId,
+  Revision,
+  TaskId,
+  Token,
+  TypeName,
+  ZoneName,
+} from '../src/types/index.ts';
 import { job } from './support/world.ts';
 
 const wireJob = {
@@ -142,8 +153,27 @@
 });
 
 test('messages between controllers survive any cut of the stream', () => {
+  const short = { machine: 'i-1' as MachineId, session: 2, seq: 88, token: 41 as Token };
+  const task = { task: 'run-1/3' as TaskId, attempt: (41 * 2 ** 24 + 5) as Attempt, saved: false };
+  const report: Report = {
+    ...short,
+    addr: '10.1.0.1:9000',
+    type: 'box' as TypeName,
+    zone: 'north' as ZoneName,
+    spot: true,
+    noticeS: 4,
+    tasks: [
+      { ...task, state: 'running', why: null },
+      { ...task, state: 'exited', why: 'no_room' },
+    ],
+  };
+  const commands: Command[] = [
+    { op: 'start', task: task.task, attempt: task.attempt },
+    { op: 'stop', task: task.task, attempt: task.attempt, graceS: 2.5 },
+    { op: 'forget', task: task.task, attempt: task.attempt },
+  ];
   const messages: PeerMessage[] = [
-    { kind: 'hello', node: 'berth-1' as NodeId, owner: 9 as Revision, chains: true },
+    { kind: 'hello', node: 'berth-1' as NodeId, owner: 9 as Revision, chains: true, fronts: true },
     { kind: 'ask', id: 5, request: { op: 'submit', spec: job('run-1', { tasks: 3 }) } },
     { kind: 'ask', id: 6, request: { op: 'cancel', id: 'run-1' as JobId } },
     {
@@ -155,6 +185,13 @@
     { kind: 'reply', id: 7, answer: null },
     { kind: 'relayed', id: 8, answer: { kind: 'orders', token: 9 as Token, commands: [] } },
     { kind: 'relayed', id: 9, answer: null },
+    { kind: 'front', id: 10, report: { whole: report } },
+    { kind: 'front', id: 11, report: { ...short, noticeS: null, whole: null, sameAs: 87 } },
+    { kind: 'front', id: 12, report: { ...short, noticeS: 7.5, whole: null, sameAs: 86 } },
+    { kind: 'fronted', id: 10, answer: { kind: 'orders', token: 41 as Token, commands } },
+    { kind: 'fronted', id: 11, answer: { kind: 'elsewhere', node: null } },
+    { kind: 'fronted', id: 12, answer: { kind: 'whole' } },
+    { kind: 'fronted', id: 13, answer: null },
   ];
   const decoder = new PeerDecoder();
   const bytes = Buffer.concat(messages.map(encodePeer));
--- a/test/support/state.ts
+++ b/test/support/state.ts
@@ -16,6 +16,9 @@
   unread: string | null = null;
   /** Limits in force; null for none. */
   limits: { valueBytes: number; txnOps: number } | null = null;
+  /** Every second request but those for holds is refused as one too many. */
+  halfRefused = false;
+  refusals = 0;
   /** Set to lose the answer to the next commit that is executed. */
   loseNextAnswer = false;
   private holds = new Map<number, { ends: number; ttl: number }>();
@@ -50,6 +53,9 @@
     if (op.kind === 'get' && this.unread !== null && op.key.startsWith(this.unread))
       return reply({ kind: 'refused', busy: true });
     this.expire();
+    const forHold = op.kind === 'grant' || op.kind === 'extend' || op.kind === 'revoke';
+    if (this.halfRefused && !forHold && op.kind !== 'watch' && ++this.refusals % 2 === 0)
+      return reply({ kind: 'refused', busy: true });
     this.served.push(op);
     if (op.kind === 'watch') return this.watch(op, reply);
     const r = this.execute(op);
--- a/test/support/worker.ts
+++ b/test/support/worker.ts
@@ -40,9 +40,11 @@
   readonly tasks = new Map<string, Running>();
   readonly results = new Set<string>();
   starts = 0;
+  /** How often it went to another node, sent there or not. */
+  moves = 0;
   /** Stop commands for tasks that ran. */
   readonly stops: { task: TaskId; graceS: number; at: number }[] = [];
-  private target = 0;
+  private target: number;
   private inFlight = false;
   private leaseFrom = 0;
   private reportNo = 0;
@@ -57,6 +59,7 @@
     readonly spot: boolean,
   ) {
     this.addr = `10.1.0.1:${id}`;
+    this.target = world.spread ? world.workers.size % 3 : 0;
   }
 
   listed(): ListedMachine {
@@ -70,6 +73,10 @@
       ageS: 1,
     };
   }
+  /** The node that it reports to. */
+  get node(): string {
+    return `node-${this.target}`;
+  }
   live(): Running[] {
     return [...this.tasks.values()].filter((t) => t.state !== 'exited');
   }
@@ -137,6 +144,8 @@
       name,
       WAIT_MS,
       (reply) => {
+        // Nobody listens there: the connection is refused.
+        if (!this.world.nodes.has(name)) return reply(null as never);
         this.world.request(
           name,
           (req) => ({ kind: 'report', req, report: r }),
@@ -158,11 +167,13 @@
   }
 
   private moveOn(): void {
+    this.moves++;
     this.target = (this.target + 1) % 3;
     this.lastReport = this.world.now;
   }
   private follow(node: string | null): void {
     if (node === null || node === `node-${this.target}`) return this.moveOn();
+    this.moves++;
     this.target = Number(node.slice(5));
     this.changed = true;
   }
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -5,6 +5,7 @@
 import type {
   CloudReply,
   JobSpec,
+  PeerMessage,
   Settings,
   StateOp,
   UserAnswer,
@@ -125,6 +126,8 @@
   readonly jobs = new Map<string, { spec: JobSpec; cancelledAt: number | null }>();
   readonly broken: string[] = [];
   readonly logs: string[] = [];
+  /** Whether workers begin at all nodes in turn, rather than at the one that owns first. */
+  spread = true;
   /** How long tasks run. */
   runS = 5;
   private readonly events = new Agenda();
@@ -264,9 +267,10 @@
         );
       }
       case 'peer':
+        if (this.tapPeer?.(e.message) === false) return;
         return this.send(name, e.node, () => {
           const old = e.message.kind === 'hello' && this.oldForm.has(name);
-          const message = old ? { ...e.message, chains: false } : e.message;
+          const message = old ? { ...e.message, chains: false, fronts: false } : e.message;
           this.input(e.node, { kind: 'peer', node: name as NodeId, message });
         });
       case 'answer-user':
@@ -289,6 +293,8 @@
   doneOnRecord(id: string): boolean {
     return (this.state.keys.get(`f/${id}`)?.value as { s?: string } | undefined)?.s === 'done';
   }
+  /** Looks at what controllers say to each other; false loses the message. */
+  tapPeer: ((m: PeerMessage) => boolean) | null = null;
   /** Nodes that greet others as versions before chained jobs do. */
   readonly oldForm = new Set<string>();
 
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -207,10 +207,11 @@
 test('frames of production are understood, and what it knows is sent to it byte for byte as before', () => {
   const read = (hex: string): PeerMessage => new PeerDecoder().feed(Buffer.from(hex, 'hex'))[0]!;
   const { hello, submit, cancel, status } = production.frames;
-  assert.deepEqual(read(hello!), { kind: 'hello', node: 'node-1', owner: 9, chains: false });
+  assert.deepEqual(read(hello!), { kind: 'hello', node: 'node-1', owner: 9, chains: false, fronts: false });
   for (const hex of [submit!, cancel!, status!]) assert.equal(encodePeer(read(hex)).toString('hex'), hex);
   // The new field comes after the old ones, which a decoder that does not know it skips.
-  const sent = encodePeer({ kind: 'hello', node: 'node-1' as NodeId, owner: 9 as Revision, chains: true });
+  const node = 'node-1' as NodeId;
+  const sent = encodePeer({ kind: 'hello', node, owner: 9 as Revision, chains: true, fronts: true });
   holds(sent.subarray(6).toString('hex').startsWith(hello!.slice(12)));
   const chained = job('run-1', { awaits: ['run-0'] as JobId[] });
   const ask: PeerMessage = { kind: 'ask', id: 5, request: { op: 'submit', spec: chained } };
