Overload: work in turns, shedding with growing Retry-After; what is out of reach is in the log

Change: requests are read at once but worked on in slices of 8 ms, reports, cancellations and health checks first; what its sender has given up on is dropped unread. The delay of the loop, or the age of the oldest unread report, sets a level: passes and plans further apart, then questions, then submissions sent back at once, by the other nodes too. Plans look up room by size and remember what found none; a task's like follow it to the same machine without another search. A few silent machines are given up after one turn. Unreachable services are logged at once and at growing intervals; Expect: 100-continue is answered.

--- a/scripts/drill/hotpath.ts
+++ b/scripts/drill/hotpath.ts
@@ -92,7 +92,9 @@
   }
   const middle = o.sizes[Math.min(1, o.sizes.length - 1)]!;
   const [b, n] = [at.get(`base ${middle}`)!, at.get(`now ${middle}`)!];
-  const ratio = (k: Kind) => (n.us[k] / b.us[k]).toFixed(2);
+  // Passes are a matter of how often as well: what they take in all counts.
+  const total = (f: Figures, k: Kind) => (k === 'pass' ? f.us[k] * f.n[k] : f.us[k]);
+  const ratio = (k: Kind) => (total(n, k) / total(b, k)).toFixed(2);
   const growth = at.get(`now ${o.sizes.at(-1)}`)!.us.report / at.get(`now ${o.sizes[0]}`)!.us.report;
   process.stdout.write(
     `hotpath: report=${ratio('report')} submit=${ratio('submit')} pass=${ratio('pass')} takeover=${(n.takeoverMs / b.takeoverMs).toFixed(2)} (ratio to base) growth_10x=${growth.toFixed(2)}\n`,
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -18,6 +18,7 @@
   UserRequest,
   WorkerAnswer,
 } from './model.ts';
+import { Overload } from './overload.ts';
 import { Relay } from './relay.ts';
 import { Share } from './share.ts';
 import { StateBudget } from './statebudget.ts';
@@ -48,6 +49,7 @@
   private readonly catalogue: Catalogue;
   private readonly relay: Relay;
   private readonly fronts: Fronts;
+  private readonly overload: Overload;
   private readonly intake: Intake;
   private readonly peersUp = new Set<NodeId>();
   /** Whether nodes know of jobs that await others, as they said last; versions before 0.2 start such a job at once. */
@@ -60,11 +62,13 @@
 
   constructor(settings: Settings, options: DispatchSettings, random: Random) {
     this.settings = settings;
-    this.io = new Outbox(random, new StateBudget(settings.state.rps, settings.peers.length + 1));
+    const budget = new StateBudget(settings.state.rps, settings.peers.length + 1);
+    this.io = new Outbox(random, budget, { state: settings.stateAddr, cloud: settings.cloudAddr });
     this.lookup = new Lookup(this.io, settings);
     this.catalogue = new Catalogue(this.io);
     this.relay = new Relay(this.io);
     this.fronts = new Fronts(this.io);
+    this.overload = new Overload(this.io);
     this.intake = new Intake(this.io, settings, this.catalogue, this.lookup);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
     this.leadership = new Leadership(this.io, settings.node, rank, {
@@ -124,6 +128,10 @@
       stateDown: share !== null && share.store.downSince !== null,
       writesWaiting: share?.store.backlog ?? 0,
       jobs: share?.jobs.open.size ?? 0,
+      loadLevel: this.overload.level,
+      loopDelayMs: Math.round(this.overload.delayMs),
+      requestsShed: this.overload.shed,
+      stateRequests: { sent: this.io.stateBudget?.sent, refused: this.io.stateBudget?.refused },
       olderPeers: this.olderPeers(),
       finalStatesToRead: share?.needs.open ?? 0,
       machines: machines.length,
@@ -134,7 +142,7 @@
   private take(input: Input): void {
     switch (input.kind) {
       case 'tick':
-        return this.tick();
+        return this.tick(input.queuedMs ?? 0);
       case 'user':
         return this.user(input.request, (answer) =>
           this.io.emit({ kind: 'answer-user', req: input.req, answer }),
@@ -160,7 +168,11 @@
     }
   }
 
-  private tick(): void {
+  private tick(queuedMs: number): void {
+    const news = this.overload.tick(queuedMs, this.share?.backlogS ?? 0);
+    if (news !== null)
+      for (const node of this.knowsFronts)
+        this.io.emit({ kind: 'peer', node, message: { kind: 'load', ...news } });
     this.leadership.tick();
     this.catalogue.tick(this.share !== null);
     this.share?.tick(this.mayCommand());
@@ -221,6 +233,11 @@
 
   // ---- users
 
+  /** What to answer without looking at the request any further, when there is too much to do; null if it is served. */
+  refusal(op: UserRequest['op']): UserAnswer | null {
+    return this.overload.refusal(op, this.leadership.owner?.node ?? null, this.share?.backlogS ?? 0);
+  }
+
   private user(request: UserRequest, answer: (a: UserAnswer) => void): void {
     const patience = request.op === 'status' ? STATUS_PATIENCE_MS : WRITE_PATIENCE_MS;
     const once = this.inTime(answer, patience);
@@ -331,7 +348,9 @@
   }
 
   private peer(node: NodeId, m: PeerMessage): void {
+    this.fronts.heard(node);
     if (m.kind === 'hello') this.hello(m);
+    else if (m.kind === 'load') this.overload.heard(node, m.level, m.afterS);
     else if (m.kind === 'front') this.fronted(node, m.id, m.report);
     else if (m.kind === 'fronted') this.fronts.answered(m.id, m.answer);
     else if (m.kind === 'ask') this.asked(node, m.id, m.request);
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -28,6 +28,8 @@
 /** Passes are at least this far apart, and further with many jobs waiting; each binds so many tasks at most. */
 const PASS_MS = 40;
 const PASS_MS_PER_JOB = 0.4;
+/** Somewhere in a large fleet something changes all the time; passes for each change would cost more than they find. */
+const PASS_MS_PER_MACHINE = 0.03;
 const PASS_MS_MAX = 250;
 const BIND_MAX = 400;
 const TAKE_BACK_EVERY_MS = 500;
@@ -84,7 +86,9 @@
     const { io } = this;
     if (!this.dirty || io.now < this.nextPass) return false;
     this.dirty = false;
-    this.nextPass = later(io.now, Math.min(PASS_MS_MAX, PASS_MS + this.jobs.waiting.size * PASS_MS_PER_JOB));
+    const size = this.jobs.waiting.size * PASS_MS_PER_JOB + this.machines.all.size * PASS_MS_PER_MACHINE;
+    const gap = Math.min(PASS_MS_MAX, PASS_MS + size);
+    this.nextPass = later(io.now, gap * io.pace);
     this.takeBackLate();
     const ranked = this.ranked();
     const hopeless: Hopeless[] = [];
@@ -144,10 +148,21 @@
       }
       this.enqueue(m, job, index, this.nextAttempt());
       n++;
+      // Fuller machines suit better, so the next task of the job would come here again: no need to look round for it.
+      while (!rules && n < Math.min(allowed, most) && this.suits(m, job)) {
+        const next = job.peek();
+        if (next < 0) return n;
+        this.enqueue(m, job, next, this.nextAttempt());
+        n++;
+      }
     }
     return n;
   }
 
+  private suits(m: Machine, job: Job): boolean {
+    return roomAhead(m, job) && !this.gather.keptFrom(m, job) && Number.isFinite(this.fit.score(job, m));
+  }
+
   /** Random among the best suited machines with room, else among those whose queue is below the threshold. */
   private choose(job: Job, rules: boolean): Machine | null {
     // A job that failed on one machine tries others; one that failed on many may go anywhere again.
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -13,7 +13,7 @@
 import { Budget, type Outbox } from './io.ts';
 import type { Job, Jobs } from './jobs.ts';
 import type { Machine, Machines } from './machines.ts';
-import type { CloudReply, ListedMachine, MachineType, Settings } from './model.ts';
+import type { CloudReply, JobSpec, ListedMachine, MachineType, Settings } from './model.ts';
 import type { Estimates, Ordering } from './order.ts';
 import type { Quota } from './quota.ts';
 import { readyTimeS, Warm } from './warm.ts';
@@ -49,6 +49,8 @@
 }
 
 const PLAN_MS = 500;
+/** A plan looks at every machine once: so many a second at most, however many there are. */
+const PLAN_MS_PER_MACHINE = 0.25;
 /** The cloud rents this many at a time; and of one offer, so many requests are made in one plan. */
 const RENT_MAX = 50;
 const RELEASE_MAX = 100;
@@ -122,7 +124,8 @@
     this.returnMachines(recovered);
     this.sendRequests();
     if (this.io.now >= this.nextPlan && recovered) {
-      this.nextPlan = later(this.io.now, PLAN_MS);
+      const gap = Math.max(PLAN_MS, this.machines.all.size * PLAN_MS_PER_MACHINE);
+      this.nextPlan = later(this.io.now, gap * this.io.pace);
       this.rentForDemand();
     }
     this.report();
@@ -558,62 +561,115 @@
   return Math.max(0, Math.min(1e6, per(f.cpus, cpus), per(f.gpus, gpus), per(f.memory, memoryGb)));
 }
 
-/** Free room by pool; what is full leaves its list, so that each job looks only at what is left. */
+/** Free room of one pool by whole accelerators and CPUs, so that a job looks only at what may have room for it. */
+class Shelf {
+  /** First by accelerators, then by CPUs. */
+  private readonly lanes: Free[][][] = [];
+  constructor(readonly first: Free) {}
+
+  put(f: Free): void {
+    if (f.cpus < LEAST) return;
+    const [gpus, cpus] = [Math.floor(f.gpus + EPS), Math.floor(f.cpus + EPS)];
+    const lane = this.lanes[gpus] ?? [];
+    this.lanes[gpus] = lane;
+    const list = lane[cpus];
+    if (list === undefined) lane[cpus] = [f];
+    else list.push(f);
+  }
+
+  /** Lists that may have room for the job: fewest accelerators first, then fullest first. */
+  *fitting(job: Job): Iterable<Free[]> {
+    const { cpus, gpus } = job.spec;
+    for (let g = Math.floor(gpus); g < this.lanes.length; g++) {
+      const lane = this.lanes[g];
+      if (lane === undefined) continue;
+      for (let c = Math.floor(cpus); c < lane.length; c++) {
+        const list = lane[c];
+        if (list !== undefined && list.length > 0) yield list;
+      }
+    }
+  }
+}
+
+const EPS = 1e-9;
+/** Room below this is none. */
+const LEAST = 1e-3;
+
+/** Free room by pool. */
 class Supply {
-  private readonly pools = new Map<string, Free[]>();
+  private readonly pools = new Map<string, Shelf>();
+  /** What found no room: a job that asks for as much or more of the same pools finds none either. */
+  private none: { where: string; spec: JobSpec }[] = [];
+
+  private hopeless(job: Job, where: string): boolean {
+    const { cpus, gpus, memoryGb } = job.spec;
+    return this.none.some(
+      (n) => n.where === where && n.spec.cpus <= cpus && n.spec.gpus <= gpus && n.spec.memoryGb <= memoryGb,
+    );
+  }
 
   add(f: Free): void {
-    if (f.cpus < 1e-3) return;
+    if (f.cpus < LEAST) return;
+    this.none = [];
     const key = offerKey(f.type.name, f.zone, f.spot);
-    const list = this.pools.get(key);
-    if (list === undefined) this.pools.set(key, [f]);
-    else list.push(f);
+    let shelf = this.pools.get(key);
+    if (shelf === undefined) {
+      shelf = new Shelf(f);
+      this.pools.set(key, shelf);
+    }
+    shelf.put(f);
   }
 
-  private *admitted(job: Job, zone: ZoneName | null): Iterable<[string, Free[]]> {
-    for (const [key, list] of this.pools) {
-      const f = list[0];
-      if (f === undefined || (f.spot && !job.spec.spot) || (zone !== null && f.zone !== zone)) continue;
+  private *admitted(job: Job, zone: ZoneName | null): Iterable<Shelf> {
+    for (const shelf of this.pools.values()) {
+      const f = shelf.first;
+      if ((f.spot && !job.spec.spot) || (zone !== null && f.zone !== zone)) continue;
       if (job.spec.zone !== null && job.spec.zone !== f.zone) continue;
-      if (job.spec.types === null || job.spec.types.includes(f.type.name)) yield [key, list];
+      if (job.spec.types === null || job.spec.types.includes(f.type.name)) yield shelf;
     }
   }
 
   /** For how many of n tasks there is room. */
   count(job: Job, n: number, zone: ZoneName | null): number {
     let found = 0;
-    for (const [, list] of this.admitted(job, zone))
-      for (const f of list) {
-        found += slotsOf(f, job);
-        if (found >= n) return n;
-      }
+    if (this.hopeless(job, whereOf(job, zone))) return 0;
+    for (const shelf of this.admitted(job, zone))
+      for (const list of shelf.fitting(job))
+        for (const f of list) {
+          found += slotsOf(f, job);
+          if (found >= n) return n;
+        }
     return found;
   }
 
   /** Uses room for up to n tasks; the machines it is on are wanted. */
   use(job: Job, n: number, zone: ZoneName | null, wanted: Set<MachineId>): number {
     let left = n;
-    for (const [key, list] of this.admitted(job, zone)) {
-      let full = false;
-      for (const f of list) {
-        if (left <= 0) break;
-        const k = takeFrom(f, job, left);
-        if (k === 0) continue;
-        left -= k;
-        full ||= f.cpus < 1e-3;
-        if (f.machine !== null) wanted.add(f.machine.id);
+    const where = whereOf(job, zone);
+    if (this.hopeless(job, where)) return 0;
+    for (const shelf of this.admitted(job, zone))
+      for (const list of shelf.fitting(job)) {
+        for (let i = list.length - 1; i >= 0 && left > 0; i--) {
+          const f = list[i]!;
+          const k = takeFrom(f, job, left);
+          if (k === 0) continue;
+          left -= k;
+          if (f.machine !== null) wanted.add(f.machine.id);
+          // It stands elsewhere now; the last of the list, looked at already, takes its place.
+          const last = list.pop()!;
+          if (last !== f) list[i] = last;
+          shelf.put(f);
+        }
+        if (left <= 0) return n;
       }
-      if (full)
-        this.pools.set(
-          key,
-          list.filter((f) => f.cpus >= 1e-3),
-        );
-      if (left <= 0) break;
-    }
+    if (left > 0) this.none.push({ where, spec: job.spec });
     return n - left;
   }
 }
 
+const whereOf = ({ spec: s }: Job, zone: ZoneName | null): string =>
+  `${zone ?? ''}|${s.zone ?? ''}|${s.spot}|${s.types?.join() ?? ''}`;
+
 export const canEverRun = (types: Iterable<MachineType>, job: Job): boolean => {
   for (const t of types) if (typeFits(t, job)) return true;
   return false;
--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -1,7 +1,7 @@
 // Workers spread over all controllers: a node that is not the owner keeps the workers that come to it, passes their
 // reports on over the link to the owner, most as a mere repetition, and brings back the owner's answers. It answers
 // nothing by itself, so who renews a lease and who commands a machine stay with the owner (docs/safety.md).
-import { type Instant, later, type MachineId, type NodeId, since } from '../types/index.ts';
+import { type Instant, LONG_AGO, later, type MachineId, type NodeId, since } from '../types/index.ts';
 import type { Outbox } from './io.ts';
 import type { FrontAnswer, FrontReport, Report, TaskReport, WorkerAnswer } from './model.ts';
 
@@ -31,8 +31,12 @@
 const PATIENCE_MS = 3500;
 /** While no owner is known, a report waits this long for the next one to answer it; the worker then tries another node. */
 const PARK_MS = 3000;
-/** Unanswered reports in a row after which the link is not used for a while: it may be cut without a word. */
+/**
+ * Unanswered reports in a row, and silence of the owner for so long, after which the link is not used for a while: it
+ * may be cut without a word. An owner that is merely slow must not get all workers' connections as well.
+ */
 const STRIKES = 3;
+const SILENT_MS = 3000;
 const REST_MS = 5000;
 /** What is remembered of workers that no longer come goes after this. */
 const FORGET_MS = 60_000;
@@ -49,6 +53,7 @@
   private restUntil: Instant | null = null;
   private nextTidy = 0 as Instant;
   private readonly lostAt = new Map<NodeId, Instant>();
+  private readonly heardAt = new Map<NodeId, Instant>();
 
   constructor(private readonly io: Outbox) {}
 
@@ -109,6 +114,11 @@
     for (const p of this.parked.splice(0)) handle(p.report, p.answer);
   }
 
+  /** The node has said something. */
+  heard(node: NodeId): void {
+    this.heardAt.set(node, this.io.now);
+  }
+
   /** Whether the link to the node went down a moment ago. */
   lostLately(node: NodeId): boolean {
     const at = this.lostAt.get(node);
@@ -147,14 +157,15 @@
 
   private strike(o: Open): void {
     this.strikes++;
-    if (this.strikes === STRIKES) {
+    const silent = since(this.io.now, this.heardAt.get(o.owner) ?? LONG_AGO) >= SILENT_MS;
+    if (this.strikes >= STRIKES && silent && this.usable) {
+      this.strikes = 0;
       this.restUntil = later(this.io.now, REST_MS);
       this.io.log('info', 'the owner answers no reports that are passed on; workers are sent to it', {
         owner: o.owner,
       });
     }
-    if (this.strikes >= STRIKES) this.strikes = 0;
-    o.answer({ kind: 'elsewhere', node: o.owner });
+    o.answer({ kind: 'elsewhere', node: silent ? o.owner : null });
   }
 }
 
--- a/src/core/io.ts
+++ b/src/core/io.ts
@@ -12,6 +12,7 @@
   WorkerAnswer,
   WorkerReply,
 } from './model.ts';
+import { Reach } from './reach.ts';
 import { Rank, type StateBudget } from './statebudget.ts';
 
 export type Input =
@@ -23,7 +24,8 @@
   | { kind: 'peer'; node: NodeId; message: PeerMessage }
   | { kind: 'peer-up'; node: NodeId }
   | { kind: 'peer-down'; node: NodeId }
-  | { kind: 'tick' };
+  /** `queuedMs`: how long the oldest request that must not wait has been waiting to be read. */
+  | { kind: 'tick'; queuedMs?: number };
 
 export type LogLevel = 'error' | 'info' | 'debug';
 export type Fields = Record<string, unknown>;
@@ -72,6 +74,8 @@
 /** The core's side of every exchange: keeps the callback of each open request and collects effects. */
 export class Outbox {
   now = 0 as Instant;
+  /** How much further apart recurring work is done than when there is processor for all of it; see overload.ts. */
+  pace = 1;
   wall = 0 as WallTime;
   private effects: Effect[] = [];
   private nextTag = 1;
@@ -79,13 +83,25 @@
   /** Requests to the state service that were given up before they were sent; told in the next step. */
   private givenUp: ((reply: StateReply) => void)[] = [];
   readonly random: Random;
+  private readonly stateReach: Reach;
+  private readonly cloudReach: Reach;
 
   constructor(
     random: Random,
     /** What the node may ask of the state service; without one, all is sent at once. */
     readonly stateBudget: StateBudget | null = null,
+    addrs = { state: '', cloud: '' },
   ) {
     this.random = random;
+    const log = (level: LogLevel, message: string, fields: Fields) => this.log(level, message, fields);
+    this.stateReach = new Reach('state service', addrs.state, log);
+    this.cloudReach = new Reach('cloud', addrs.cloud, log);
+  }
+
+  private heed(reach: Reach, r: StateReply | CloudReply): void {
+    if (r.kind === 'no-answer') reach.failed(this.now, 'silent');
+    else if (r.kind === 'refused' && !r.busy) reach.failed(this.now, 'refused');
+    else reach.served(this.now);
   }
 
   begin(now: Instant, wall: WallTime): void {
@@ -118,17 +134,22 @@
 
   state(op: StateOp, then: (reply: StateReply) => void, timeoutMs = 1500, rank: Rank = Rank.work): void {
     const { stateBudget: budget } = this;
-    if (budget === null) return this.emit({ kind: 'state', tag: this.tag(then), op, timeoutMs });
     const heed = (r: StateReply): void => {
-      if (r.kind === 'refused' && r.busy) budget.busy(this.now);
+      if (r.kind === 'refused' && r.busy) budget?.busy(this.now);
+      this.heed(this.stateReach, r);
       then(r);
     };
     const send = () => this.emit({ kind: 'state', tag: this.tag(heed), op, timeoutMs });
+    if (budget === null) return send();
     budget.submit(this.now, rank, send, () => this.givenUp.push(then));
   }
 
   cloud(op: CloudOp, then: (reply: CloudReply) => void, timeoutMs = 4000): void {
-    this.emit({ kind: 'cloud', tag: this.tag(then), op, timeoutMs });
+    const heed = (r: CloudReply): void => {
+      this.heed(this.cloudReach, r);
+      then(r);
+    };
+    this.emit({ kind: 'cloud', tag: this.tag(heed), op, timeoutMs });
   }
 
   probe(addr: string, token: Token, session: number, then: (reply: WorkerReply) => void): void {
--- /dev/null
+++ b/src/core/overload.ts
@@ -0,0 +1,97 @@
+// What gives way when there is more to do than processor for it (docs/scale.md). The signal is how late this node's own
+// timer fires, or how long the oldest report has been waiting to be read, whichever is more. Reports, cancellations and results are never turned away; passes
+// and plans are made less often, then questions and at last submissions are sent back at once, by the other nodes too,
+// from what the owner tells them.
+import { type Instant, later, type NodeId, since } from '../types/index.ts';
+import type { Outbox } from './io.ts';
+import { retry } from './jobs.ts';
+import type { UserAnswer, UserRequest } from './model.ts';
+
+/** 0: all is well. 1: questions give way. 2: submissions too. */
+export type Level = 0 | 1 | 2;
+
+const TICK_MS = 100;
+/** One pause, as for collecting garbage, is no overload: the delay is taken over about this time. */
+const OVER_MS = 1500;
+/** No single tick counts for more than this. */
+const ONE_MS = 300;
+/** Where a level begins, and below which it ends. */
+const ENTER_MS = [0, 200, 600];
+const LEAVE_MS = [0, 100, 300];
+/** Of ten questions so many are sent back at a level; some always get through, so no job stays unheard for long. */
+const QUESTIONS_SHED = [0, 5, 9];
+const TELL_MS = 1000;
+/** What another node told is believed for this long. */
+const TOLD_MS = 3000;
+const PACE_PER_MS = 1 / 100;
+const PACE_MAX = 5;
+const AFTER_MAX_S = 15;
+
+export class Overload {
+  /** How late the timer fires or reports are read, smoothed, in milliseconds. */
+  delayMs = 0;
+  level: Level = 0;
+  private lastTick: Instant | null = null;
+  private nextTell = 0 as Instant;
+  private readonly told = new Map<NodeId, { level: Level; afterS: number; until: Instant }>();
+  /** Requests sent back, for operators. */
+  shed = 0;
+
+  constructor(private readonly io: Outbox) {}
+
+  /** Called with every tick; returns what the other nodes should be told, if anything. */
+  tick(queuedMs: number, backlogS: number): { level: Level; afterS: number } | null {
+    const { now } = this.io;
+    const before = this.level;
+    this.measure(now, queuedMs);
+    this.io.pace = Math.min(PACE_MAX, 1 + this.delayMs * PACE_PER_MS);
+    if (this.level !== before)
+      this.io.log('info', 'load has changed', { level: this.level, delayMs: Math.round(this.delayMs) });
+    if (this.level === before && (this.level === 0 || now < this.nextTell)) return null;
+    this.nextTell = later(now, TELL_MS);
+    return { level: this.level, afterS: this.afterS(backlogS) };
+  }
+
+  private measure(now: Instant, queuedMs: number): void {
+    const last = this.lastTick;
+    this.lastTick = now;
+    if (last === null) return;
+    const elapsed = Math.max(0, since(now, last));
+    const late = Math.max(0, elapsed - TICK_MS, queuedMs);
+    const weight = 1 - Math.exp(-Math.min(elapsed, ONE_MS) / OVER_MS);
+    this.delayMs += (late - this.delayMs) * weight;
+    while (this.level < 2 && this.delayMs >= ENTER_MS[this.level + 1]!)
+      this.level = (this.level + 1) as Level;
+    while (this.level > 0 && this.delayMs < LEAVE_MS[this.level]!) this.level = (this.level - 1) as Level;
+  }
+
+  /** Seconds after which a caller who is sent back should come again: more, the more waits. */
+  private afterS(backlogS: number): number {
+    return Math.min(AFTER_MAX_S, 1 + this.delayMs / 250 + backlogS);
+  }
+
+  heard(node: NodeId, level: Level, afterS: number): void {
+    this.told.set(node, { level, afterS, until: later(this.io.now, TOLD_MS) });
+  }
+
+  /** What to tell a user at once instead of serving the request; null if it is to be served. */
+  refusal(op: UserRequest['op'], owner: NodeId | null, backlogS: number): UserAnswer | null {
+    if (op === 'cancel') return null;
+    const told = owner === null ? undefined : this.told.get(owner);
+    const theirs = told !== undefined && this.io.now < told.until ? told : null;
+    const level = Math.max(this.level, theirs?.level ?? 0);
+    if (level === 0) return null;
+    if (op === 'status' ? this.io.random.below(10) >= QUESTIONS_SHED[level]! : level < 2) return null;
+    this.shed++;
+    return retry(
+      'too much work at the moment',
+      spread(this.io, Math.max(theirs?.afterS ?? 1, this.afterS(backlogS))),
+      true,
+    );
+  }
+}
+
+/** Callers who are sent back together do not come back together. */
+export function spread(io: Outbox, afterS: number): number {
+  return Math.max(1, Math.round(afterS + (io.random.below(1001) / 1000) * afterS));
+}
--- /dev/null
+++ b/src/core/reach.ts
@@ -0,0 +1,46 @@
+// Tells operators when the state service or the cloud cannot be reached: at once, then at growing intervals, and when
+// it is back. Without this a controller that can do nothing for its users says nothing at all.
+import { type Instant, later, since } from '../types/index.ts';
+import type { Fields, LogLevel } from './io.ts';
+
+type Log = (level: LogLevel, message: string, fields: Fields) => void;
+
+const FIRST_MS = 5000;
+const MAX_MS = 300_000;
+
+export class Reach {
+  private downSince: Instant | null = null;
+  private tellAt = 0 as Instant;
+  private gapMs = FIRST_MS;
+  private failures = 0;
+
+  constructor(
+    private readonly what: string,
+    private readonly addr: string,
+    private readonly log: Log,
+  ) {}
+
+  /** `silent`: no answer in time, or no connection. `refused`: an answer that it is not serving. */
+  failed(now: Instant, why: 'silent' | 'refused'): void {
+    this.failures++;
+    if (this.downSince === null) {
+      this.downSince = now;
+      this.gapMs = FIRST_MS;
+      this.tellAt = now;
+    }
+    if (now < this.tellAt) return;
+    this.tellAt = later(now, this.gapMs);
+    this.gapMs = Math.min(MAX_MS, this.gapMs * 2);
+    const reason = why === 'silent' ? 'does not answer' : 'refuses requests';
+    const forS = Math.round(since(now, this.downSince) / 100) / 10;
+    this.log('error', `the ${this.what} ${reason}`, { addr: this.addr, forS, failures: this.failures });
+  }
+
+  served(now: Instant): void {
+    if (this.downSince === null) return;
+    const forS = Math.round(since(now, this.downSince) / 100) / 10;
+    this.downSince = null;
+    this.failures = 0;
+    this.log('info', `the ${this.what} answers again`, { addr: this.addr, forS });
+  }
+}
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -24,6 +24,10 @@
 
 /** Machines are asked directly only so many at a time; most come by themselves within a report period. */
 const PROBES_AT_ONCE = 16;
+/** Up to this part of the fleet counts as a few: what they may run is worth less than all that they hold up. */
+const FEW = 0.01;
+/** A worker whose node has gone waits for 4 s, and 1 s more before it tries the next. */
+const WORKER_TURN_MS = 5500;
 
 export class Recovery {
   /** Jobs and machines of the earlier terms are known. */
@@ -172,7 +176,7 @@
     const blocked = this.machinesBlockWork();
     for (const m of silent) {
       this.probe(m);
-      if (blocked && !m.releasing && this.io.now - this.loadedAt > this.fenceAfterMs()) {
+      if (blocked && !m.releasing && this.io.now - this.loadedAt > this.fenceAfterMs(silent.length)) {
         this.machines.giveBack(m);
         this.io.log('info', 'silent machine is returned to settle what it runs', { machine: m.id });
       }
@@ -184,8 +188,11 @@
     return false;
   }
 
-  private fenceAfterMs(): number {
-    return Math.max(3 * this.settings.workers.reportS * 1000, 8000) + 4000;
+  /** A few machines that miss one turn are given up; more are given time, as something else may keep them away. */
+  private fenceAfterMs(silent: number): number {
+    const reportMs = this.settings.workers.reportS * 1000;
+    const few = silent <= Math.max(1, this.machines.all.size * FEW);
+    return few ? reportMs * 1.25 + WORKER_TURN_MS : Math.max(3 * reportMs, 8000) + 4000;
   }
 
   private probe(m: Machine): void {
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -24,6 +24,7 @@
 import { Needs } from './needs.ts';
 import { Newcomers } from './newcomers.ts';
 import { Estimates, Ordering } from './order.ts';
+import { spread } from './overload.ts';
 import { Progress } from './progress.ts';
 import { Quota } from './quota.ts';
 import { Recovery } from './recovery.ts';
@@ -153,6 +154,11 @@
     this.jobs.onEnded = (job) => this.unqueue(job);
   }
 
+  /** Seconds that it takes to write what waits to be written. */
+  get backlogS(): number {
+    return this.store.backlog / this.settings.state.writeRps;
+  }
+
   tick(mayCommand: boolean): void {
     this.recovery.tick();
     this.store.tick();
@@ -306,7 +312,8 @@
     if (final !== null) return answer({ kind: 'known', id: spec.id, status: final.status });
     if (!this.recovery.loaded) return answer(retry('the jobs on record are being read'));
     if (this.store.downSince !== null) return answer(retry('the state service does not answer', 2));
-    if (this.store.backlog > this.maxBacklog) return answer(retry('too many submissions at once', 2, true));
+    if (this.store.backlog > this.maxBacklog)
+      return answer(retry('too many submissions at once', spread(this.io, 1 + this.backlogS / 2), true));
     const reason = impossible(spec, this.catalogue.types, this.settings.teams);
     if (reason !== null) return this.refuse(spec, { kind: 'impossible', reason }, answer);
     const large = tooLarge(spec, this.settings.state);
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -30,6 +30,7 @@
   private need = 0;
   private chunks: Buffer[] = [];
   private chunkBytes = 0;
+  private waitsForContinue = false;
   private readonly role: Role;
   private readonly maxBody: number;
 
@@ -38,6 +39,13 @@
     this.maxBody = maxBody;
   }
 
+  /** Once for each message whose sender waits to be told to go on with the body. */
+  takeContinue(): boolean {
+    const waits = this.waitsForContinue;
+    this.waitsForContinue = false;
+    return waits;
+  }
+
   /** True while a message has begun and is not complete. */
   get midMessage(): boolean {
     return this.head !== null || this.buffer.length > 0;
@@ -49,6 +57,8 @@
     for (;;) {
       const m = this.next();
       if (m === null) return out;
+      // The body has come without being asked for.
+      this.waitsForContinue = false;
       out.push(m);
     }
   }
@@ -129,6 +139,11 @@
   }
 
   private frame(m: Message): void {
+    const expect = m.headers.get('expect')?.toLowerCase();
+    if (this.role === 'request' && expect !== undefined) {
+      if (expect !== '100-continue') throw new BadMessage(417, 'cannot do what is expected');
+      this.waitsForContinue = true;
+    }
     const connection = m.headers.get('connection')?.toLowerCase();
     if (connection === 'close') m.keepAlive = false;
     if (connection === 'keep-alive') m.keepAlive = true;
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -1,6 +1,7 @@
 // A small HTTP/1.1 server on net: one request at a time a connection, with time and size limits.
 import { createServer, type Server, type Socket } from 'node:net';
 import { BadMessage, HttpParser, type Message } from './parser.ts';
+import { Turns, type Urgency } from './turns.ts';
 
 export interface Reply {
   status: number;
@@ -9,6 +10,13 @@
 }
 export type Handler = (request: Message, answer: (reply: Reply) => void) => void;
 
+/** What the first bytes of a request say of it, before it is parsed. */
+export interface Glance {
+  urgency: Urgency;
+  /** After so long its sender no longer waits for the answer. */
+  uselessAfterMs: number;
+}
+
 export interface ServerLimits {
   maxConnections: number;
   maxBody: number;
@@ -26,6 +34,7 @@
   405: 'Method Not Allowed',
   408: 'Request Timeout',
   413: 'Content Too Large',
+  417: 'Expectation Failed',
   421: 'Misdirected Request',
   422: 'Unprocessable Content',
   429: 'Too Many Requests',
@@ -40,32 +49,58 @@
   return `HTTP/1.1 ${r.status} ${REASONS[r.status] ?? 'Status'}\r\nContent-Type: application/json\r\n${retry}${close}Content-Length: ${length}\r\n\r\n${r.body}`;
 }
 
+const REST: Glance = { urgency: 0, uselessAfterMs: Number.POSITIVE_INFINITY };
+const PLAIN: Glance = { urgency: 1, uselessAfterMs: Number.POSITIVE_INFINITY };
+
 class Connection {
   private readonly parser: HttpParser;
   private readonly queue: Message[] = [];
   private busy = false;
   private closing = false;
+  /** Bytes that wait for their turn. */
+  private readonly inbox: Buffer[] = [];
   lastActive: number;
 
   constructor(
     private readonly socket: Socket,
     private readonly handler: Handler,
     private readonly limits: ServerLimits,
+    private readonly turns: Turns,
+    private readonly glance: (bytes: Buffer) => Glance,
     now: number,
   ) {
     this.parser = new HttpParser('request', limits.maxBody);
     this.lastActive = now;
     socket.setNoDelay(true);
-    socket.on('data', (d) => this.onData(d));
+    socket.on('data', (d) => this.arrive(d));
     socket.on('end', () => this.socket.end());
     socket.on('error', () => this.socket.destroy());
   }
 
+  private arrive(data: Buffer): void {
+    if (this.closing) return;
+    // One turn a connection, so that its bytes are read in the order in which they came.
+    if (this.inbox.push(data) > 1) return;
+    // The rest of a message that has begun is not looked into: bodies hold anything.
+    const { urgency, uselessAfterMs } = this.parser.midMessage ? REST : this.glance(data);
+    this.turns.add({
+      since: performance.now(),
+      urgency,
+      uselessAfterMs,
+      run: () => {
+        for (const d of this.inbox.splice(0)) if (!this.socket.destroyed) this.onData(d);
+      },
+      drop: () => this.socket.destroy(),
+    });
+  }
+
   private onData(data: Buffer): void {
     if (this.closing) return;
     if (!this.parser.midMessage) this.lastActive = performance.now();
     try {
       this.queue.push(...this.parser.feed(data));
+      // A refusal by the head alone, as for a body too large, has been thrown by now: only what is read is asked for.
+      if (this.parser.takeContinue() && !this.busy) this.socket.write('HTTP/1.1 100 Continue\r\n\r\n');
     } catch (e) {
       const bad = e instanceof BadMessage ? e : new BadMessage(400, 'bad request');
       this.refuse(bad.status, bad.message);
@@ -102,7 +137,7 @@
 
   /** Called about once a second: slow senders and idle connections make room for others. */
   sweep(now: number): void {
-    if (this.busy || this.socket.destroyed) return;
+    if (this.busy || this.inbox.length > 0 || this.socket.destroyed) return;
     const age = now - this.lastActive;
     if (this.closing) {
       if (age > this.limits.requestMs) this.socket.destroy();
@@ -118,10 +153,12 @@
   limits: ServerLimits,
   handler: Handler,
   onListening: (port: number) => void,
+  turns = new Turns(),
+  glance: (bytes: Buffer) => Glance = () => PLAIN,
 ): { server: Server; close: () => void } {
   const connections = new Set<Connection>();
   const server = createServer({ noDelay: true }, (socket) => {
-    const c = new Connection(socket, handler, limits, performance.now());
+    const c = new Connection(socket, handler, limits, turns, glance, performance.now());
     connections.add(c);
     socket.on('close', () => connections.delete(c));
   });
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -121,6 +121,8 @@
       return { reply: replyFields(m.id, m.answer) };
     case 'relay':
       return { relay: { id: m.id, report: JSON.stringify(m.report) } };
+    case 'load':
+      return { load: { level: m.level, afterS: m.afterS } };
     case 'front':
       return { front: frontFields(m.id, m.report) };
     case 'fronted':
@@ -244,6 +246,10 @@
       chains: e.hello.chains === true,
       fronts: e.hello.fronts === true,
     };
+  if (e.load) {
+    const level = Math.min(2, e.load.level ?? 0) as 0 | 1 | 2;
+    return { kind: 'load', level, afterS: e.load.afterS ?? 1 };
+  }
   if (e.front) return { kind: 'front', id: e.front.id ?? 0, report: decodeFront(e.front) };
   if (e.fronted) return { kind: 'fronted', id: e.fronted.id ?? 0, answer: decodeFronted(e.fronted) };
   if (e.ask) return { kind: 'ask', id: e.ask.id ?? 0, request: decodeAsk(e.ask) };
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -14,7 +14,8 @@
 } from '../core/model.ts';
 import { HttpClient } from '../http/client.ts';
 import type { Message } from '../http/parser.ts';
-import { type Handler, type Reply, serveHttp } from '../http/server.ts';
+import { type Glance, type Handler, type Reply, serveHttp } from '../http/server.ts';
+import { Turns } from '../http/turns.ts';
 import { decodeCloudReply, encodeCloudOp } from '../protocol/cloud.ts';
 import { encodeUserAnswer, InvalidMessage, isJobId, parseJob, refusal } from '../protocol/job.ts';
 import { decodeStateReply, encodeStateOp } from '../protocol/state.ts';
@@ -47,6 +48,7 @@
   /** How late timers fire, in milliseconds. */
   private readonly lag = buildHistogram({ bitBucketSize: 16, numberOfSignificantValueDigits: 1 });
   private nextReq = 1;
+  private readonly turns = new Turns();
 
   constructor(
     private readonly settings: Settings,
@@ -72,7 +74,7 @@
       const now = performance.now();
       this.lag.recordValue(Math.max(0, Math.round(now - due)));
       due = now + TICK_MS;
-      this.step({ kind: 'tick' });
+      this.step({ kind: 'tick', queuedMs: this.turns.ageMs });
     }, TICK_MS);
     this.step({ kind: 'tick' });
   }
@@ -82,9 +84,8 @@
     // Some sockets are left for peers, the state service, the cloud and workers that are probed.
     const maxConnections = Math.max(16, Math.floor(this.settings.sockets * 0.85) - 40);
     const limits = { maxConnections, maxBody: MAX_BODY, requestMs: 10_000, idleMs: 60_000 };
-    const { server } = serveHttp(host, port, limits, this.handle, () =>
-      this.log('info', 'serving', { addr: this.settings.listen }),
-    );
+    const listening = () => this.log('info', 'serving', { addr: this.settings.listen });
+    const { server } = serveHttp(host, port, limits, this.handle, listening, this.turns, glance);
     server.on('error', (e) => {
       this.log('error', 'listening address cannot be used', { addr: this.settings.listen, error: e.message });
       process.exit(1);
@@ -196,6 +197,8 @@
   private onStatus(answer: (r: Reply) => void): void {
     const h = this.lag;
     const process_ = {
+      requestsWaiting: this.turns.waiting,
+      requestsDropped: this.turns.dropped,
       rssMb: Math.round(process.memoryUsage.rss() / 1e5) / 10,
       loopDelayMs: { p50: h.getValueAtPercentile(50), p99: h.getValueAtPercentile(99), max: h.maxValue },
     };
@@ -213,17 +216,39 @@
     this.step({ kind: 'report', req: this.register(answer), report });
   }
 
+  /** Sent back before the body is looked at, when there is too much to do. */
+  private shed(op: UserRequest['op'], answer: (r: Reply) => void): boolean {
+    const refused = this.core.refusal(op);
+    if (refused !== null) answer(encodeUserAnswer(refused));
+    return refused !== null;
+  }
+
   private onSubmit(request: Message, answer: (r: Reply) => void): void {
+    if (this.shed('submit', answer)) return;
     const spec = parseJob(parseJson(request.body));
     this.step({ kind: 'user', req: this.register(answer), request: { op: 'submit', spec } });
   }
 
   private onJob(request: UserRequest & { id: JobId }, answer: (r: Reply) => void): void {
     if (!isJobId(request.id)) return answer(refusal(404, 'no such job'));
+    if (this.shed(request.op, answer)) return;
     this.step({ kind: 'user', req: this.register(answer), request });
   }
 }
 
+/** Reports, cancellations and health checks go first, then submissions, then questions. */
+function glance(bytes: Buffer): Glance {
+  const line = bytes.toString('latin1', 0, 64);
+  if (line.startsWith('POST /checkin')) return REPORT;
+  if (line.startsWith('GET /work')) return QUESTION;
+  return line.startsWith('POST /work ') ? SUBMISSION : OTHER;
+}
+/** As long as the senders wait for an answer, less a little for its way. */
+const REPORT: Glance = { urgency: 0, uselessAfterMs: 3800 };
+const OTHER: Glance = { urgency: 0, uselessAfterMs: 4800 };
+const SUBMISSION: Glance = { urgency: 1, uselessAfterMs: 4800 };
+const QUESTION: Glance = { urgency: 2, uselessAfterMs: 1900 };
+
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8'));
--- a/test/fronts.test.ts
+++ b/test/fronts.test.ts
@@ -235,3 +235,26 @@
   for (let i = 0; i <= 12; i++) assert.ok(w.until(() => w.isDone(`run-${i}`, 'node-2' as NodeId), 60));
   assert.deepEqual(w.broken, []);
 });
+
+test('a state service or cloud out of reach is in the log at once, then ever more seldom, and once when it is back', () => {
+  const w = new World();
+  w.submit(job('run-1'));
+  w.run(5);
+  const told = (what: string) => w.logs.filter((l) => l.includes(`node-0 the ${what} `)).length;
+  const start = w.now;
+  w.state.down = true;
+  w.cloud.down = true;
+  w.run(2);
+  assert.ok(w.logs.some((l) => l.includes('the state service refuses requests')));
+  w.run(58);
+  assert.ok(
+    told('state service') >= 3 && told('state service') <= 6,
+    `${told('state service')} lines in a minute`,
+  );
+  w.state.down = false;
+  w.cloud.down = false;
+  w.run(20);
+  const back = w.logs.filter((l) => l.includes('node-0 the state service answers again'));
+  assert.equal(back.length, 1, `${(w.now - start) / 1000} s`);
+  assert.equal(w.logs.filter((l) => l.includes('node-0 the cloud answers again')).length, 1);
+});
--- a/test/http-parser.test.ts
+++ b/test/http-parser.test.ts
@@ -28,6 +28,19 @@
   assert.equal(parser.midMessage, false);
 });
 
+test('a sender that waits to be told to go on is told once, and only when its body is still to come', () => {
+  const head = 'POST /work HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n';
+  const parser = new HttpParser('request', 64);
+  assert.deepEqual(parser.feed(Buffer.from(head)), []);
+  assert.deepEqual([parser.takeContinue(), parser.takeContinue()], [true, false]);
+  assert.equal(parser.feed(Buffer.from('hello'))[0]?.body.toString(), 'hello');
+  assert.equal(parser.feed(Buffer.from(`${head}hello`)).length, 1);
+  assert.equal(parser.takeContinue(), false);
+  // What would be refused anyway is refused by the head: the body is never asked for.
+  assert.equal(refused('POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 65\r\n\r\n'), 413);
+  assert.equal(refused('POST /a HTTP/1.1\r\nExpect: 200-ok\r\nContent-Length: 5\r\n\r\n'), 417);
+});
+
 test('a chunked body arrives in one piece, whatever the cuts', () => {
   const text = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x=1\r\ndefg\r\n0\r\n\r\n';
   for (let cut = 1; cut < text.length; cut++) {
--- /dev/null
+++ b/test/overload.test.ts
@@ -0,0 +1,150 @@
+// What gives way when there is more to do than processor for it (docs/scale.md).
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Outbox } from '../src/core/io.ts';
+import { Overload } from '../src/core/overload.ts';
+import { Turns, type Urgency } from '../src/http/turns.ts';
+import { seeded } from '../src/runtime/random.ts';
+import type { Instant, NodeId, WallTime } from '../src/types/index.ts';
+import { job, World } from './support/world.ts';
+
+/** A loop of which the test turns every round; each piece of work takes 3 ms. */
+function loop() {
+  let now = 0;
+  const rounds: (() => void)[] = [];
+  const log: string[] = [];
+  const turns = new Turns(
+    () => now,
+    (run) => rounds.push(run),
+  );
+  const add = (name: string, urgency: Urgency, uselessAfterMs = 1000) =>
+    turns.add({
+      since: now,
+      urgency,
+      uselessAfterMs,
+      run: () => {
+        log.push(name);
+        now += 3;
+      },
+      drop: () => log.push(`${name} dropped`),
+    });
+  const round = (): void => {
+    for (const r of rounds.splice(0)) r();
+  };
+  const wait = (ms: number): void => {
+    now += ms;
+  };
+  return { turns, add, round, wait, log, rounds };
+}
+
+test('a flood is worked on in slices, the urgent first; what nobody waits for any more is dropped unread', () => {
+  const { turns, add, round, wait, log, rounds } = loop();
+  add('alone', 2);
+  assert.deepEqual(log, ['alone'], 'with nothing else to do there is no waiting');
+  for (let i = 0; i < 6; i++) add(`poll-${i}`, 2, 20);
+  for (let i = 0; i < 6; i++) add(`submit-${i}`, 1);
+  for (let i = 0; i < 6; i++) add(`report-${i}`, 0);
+  // One round of the loop takes three pieces and no more, whatever waits.
+  assert.ok(log.length <= 3, log.join());
+  log.length = 0;
+  round();
+  assert.deepEqual(log, ['report-0', 'report-1', 'report-2']);
+  round();
+  round();
+  assert.deepEqual(log.slice(6), ['submit-0', 'submit-1', 'submit-2']);
+  wait(30);
+  for (let i = 0; i < 20 && rounds.length > 0; i++) round();
+  assert.ok(log.includes('submit-5'));
+  assert.equal(log.filter((l) => l.startsWith('poll') && l.endsWith('dropped')).length, turns.dropped);
+  assert.ok(turns.dropped >= 4);
+  assert.equal(turns.waiting, 0);
+  assert.equal(rounds.length, 0, 'an idle loop is left alone');
+});
+
+/** Overload of one node on ticks that the test makes late. */
+function late() {
+  const io = new Outbox(seeded(4));
+  const o = new Overload(io);
+  let now = 0;
+  const told: number[] = [];
+  const tick = (by: number, queuedMs = 0): void => {
+    now += 100 + by;
+    io.begin(now as Instant, now as WallTime);
+    const news = o.tick(queuedMs, 0);
+    if (news !== null) told.push(news.level);
+  };
+  const shares = (op: 'status' | 'submit' | 'cancel'): number => {
+    let n = 0;
+    for (let i = 0; i < 1000; i++) if (o.refusal(op, null, 0) !== null) n++;
+    return n;
+  };
+  return { o, io, tick, shares, told };
+}
+
+test('questions give way first, then submissions, never cancellations; some questions always get through', () => {
+  const { o, tick, shares, told } = late();
+  tick(0);
+  tick(900);
+  tick(0);
+  assert.equal(o.level, 0, 'one pause is no overload');
+  for (let i = 0; i < 8; i++) tick(350);
+  assert.equal(o.level, 1);
+  assert.ok(shares('status') > 400 && shares('status') < 600);
+  assert.deepEqual([shares('submit'), shares('cancel')], [0, 0]);
+  for (let i = 0; i < 12; i++) tick(0, 1500);
+  assert.equal(o.level, 2, 'reports that wait to be read count as much as a late timer');
+  assert.deepEqual([shares('submit'), shares('cancel')], [1000, 0]);
+  assert.ok(shares('status') < 960);
+  for (let i = 0; i < 60; i++) tick(0);
+  assert.deepEqual([o.level, shares('status'), shares('submit')], [0, 0, 0]);
+  assert.equal(told.at(-1), 0, 'the others are told that it is over');
+});
+
+test('callers who are sent back are spread over a time that grows with the load, and recurring work is thinned out', () => {
+  const { o, io, tick } = late();
+  tick(0);
+  assert.equal(io.pace, 1);
+  for (let i = 0; i < 20; i++) tick(1200);
+  assert.ok(io.pace > 3 && io.pace <= 5, `${io.pace}`);
+  const afters = new Set<number>();
+  for (let i = 0; i < 300; i++) {
+    const a = o.refusal('submit', null, 4);
+    assert.ok(a?.kind === 'retry' && a.overload && a.afterS >= 1 && a.afterS <= 30);
+    afters.add(a.afterS);
+  }
+  assert.ok(afters.size >= 5, [...afters].join());
+  assert.ok(Math.min(...afters) >= 5);
+});
+
+test('what the owner tells of its load is heeded by the others, for as long as it is fresh', () => {
+  const io = new Outbox(seeded(4));
+  const o = new Overload(io);
+  const owner = 'node-1' as NodeId;
+  io.begin(0 as Instant, 0 as WallTime);
+  o.heard(owner, 2, 6);
+  assert.equal(o.refusal('submit', owner, 0)?.kind, 'retry');
+  assert.equal(o.refusal('submit', 'node-2' as NodeId, 0), null);
+  io.begin(3100 as Instant, 0 as WallTime);
+  assert.equal(o.refusal('submit', owner, 0), null);
+});
+
+test('an owner whose timer fires late sheds questions and submissions by way of the others, and keeps its leases', () => {
+  const w = new World();
+  w.runS = 20;
+  w.submit(job('run-1', { tasks: 6, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 3));
+  const owner = w.owner!;
+  w.slowTicks.set(owner, 900);
+  w.run(8);
+  const other = [...w.nodes.keys()].find((n) => n !== owner)!;
+  assert.equal(w.nodes.get(other)!.refusal('submit')?.kind, 'retry');
+  assert.equal(w.nodes.get(other)!.refusal('cancel'), null);
+  w.run(20);
+  assert.equal(w.owner, owner);
+  for (const x of w.workers.values()) assert.equal(x.session, 1, `${x.id} lost its lease`);
+  w.slowTicks.delete(owner);
+  w.run(6);
+  assert.equal(w.nodes.get(other)!.refusal('submit'), null);
+  assert.ok(w.until(() => w.isDone('run-1'), 60));
+  assert.deepEqual(w.broken, []);
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -221,7 +221,7 @@
     const tick = () => {
       if (this.lives.get(name) !== life || !this.nodes.has(name)) return;
       this.input(name, { kind: 'tick' });
-      this.after(100, tick);
+      this.after(100 + (this.slowTicks.get(name) ?? 0), tick);
     };
     tick();
   }
@@ -295,6 +295,8 @@
   }
   /** Looks at what controllers say to each other; false loses the message. */
   tapPeer: ((m: PeerMessage) => boolean) | null = null;
+  /** Nodes whose timers fire late, by so many milliseconds. */
+  readonly slowTicks = new Map<string, number>();
   /** Nodes that greet others as versions before chained jobs do. */
   readonly oldForm = new Set<string>();
 
