Workers are spread again after nodes end; early reports wait for the records

A report made under the new token before the records were read was answered unread, so its machine was heard a report period later.

Change: nodes tell one another every second how many workers speak to them; one with a quarter more than the mean sends 4% a second to the least, none twice in two minutes. Reports under the owner's token wait up to 2.5 s for the records and are read in portions.

--- /dev/null
+++ b/src/core/balance.ts
@@ -0,0 +1,83 @@
+// How many workers speak to which controller. They choose at random and move on when a node ends, so after a few ends
+// most of them are at one node, which then lacks processor and sockets. A node with many more than the mean sends some
+// to the one with fewest, a few a second.
+import { type Instant, LONG_AGO, later, type MachineId, type NodeId, since } from '../types/index.ts';
+import type { Outbox } from './io.ts';
+
+/** Workers count for as long as two reports should not both be missing. */
+const PERIODS = 2;
+const SWEEP_MS = 1000;
+/** What another node told is believed for this long. */
+const TOLD_MS = 3500;
+/** More than this beyond the mean, and this many, is too many. */
+const SLACK = 1.25;
+const SLACK_MIN = 24;
+/** Part of a node's workers sent away in a second: each makes a new connection there. */
+const PART_A_S = 0.04;
+/** A worker that is back did not get through; it is left alone for this long. */
+const LEAVE_MS = 120_000;
+
+export class Balance {
+  private readonly seen = new Map<MachineId, Instant>();
+  private readonly sizes = new Map<NodeId, { workers: number; until: Instant }>();
+  private readonly sentAway = new Map<MachineId, Instant>();
+  private nextSweep: Instant = LONG_AGO;
+  /** How many more may be sent away before the next sweep, and where to. */
+  private left = 0;
+  private to: NodeId | null = null;
+
+  constructor(
+    private readonly io: Outbox,
+    private readonly reportS: number,
+  ) {}
+
+  /** Workers that speak to this node. */
+  get workers(): number {
+    return this.seen.size;
+  }
+
+  told(node: NodeId, workers: number): void {
+    this.sizes.set(node, { workers, until: later(this.io.now, TOLD_MS) });
+  }
+
+  /** Takes note of a report to this node; where its worker should go instead, or null if it may stay. */
+  report(machine: MachineId): NodeId | null {
+    const { now } = this.io;
+    this.seen.set(machine, now);
+    if (this.left <= 0 || this.to === null || this.sentAway.has(machine)) return null;
+    this.left--;
+    this.seen.delete(machine);
+    this.sentAway.set(machine, now);
+    return this.to;
+  }
+
+  /** `reachable`: nodes that take workers and that this one is linked to. */
+  tick(reachable: (node: NodeId) => boolean): void {
+    const { now } = this.io;
+    if (now < this.nextSweep) return;
+    this.nextSweep = later(now, SWEEP_MS);
+    const old = PERIODS * this.reportS * 1000;
+    for (const [m, at] of this.seen) if (since(now, at) > old) this.seen.delete(m);
+    for (const [m, at] of this.sentAway) if (since(now, at) > LEAVE_MS) this.sentAway.delete(m);
+    this.plan(reachable);
+  }
+
+  private plan(reachable: (node: NodeId) => boolean): void {
+    this.left = 0;
+    this.to = null;
+    let sum = this.workers;
+    let nodes = 1;
+    let least = Number.POSITIVE_INFINITY;
+    for (const [node, s] of this.sizes) {
+      if (this.io.now >= s.until || !reachable(node)) continue;
+      sum += s.workers;
+      nodes++;
+      if (s.workers >= least) continue;
+      least = s.workers;
+      this.to = node;
+    }
+    const mean = sum / nodes;
+    if (this.to === null || this.workers <= Math.max(mean * SLACK, mean + SLACK_MIN)) return;
+    this.left = Math.ceil(Math.min(this.workers - mean, mean - least, this.workers * PART_A_S));
+  }
+}
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,5 +1,6 @@
 // The core of one controller: a state machine that takes inputs and returns what to send and answer.
 import { type Instant, later, type NodeId, type Revision, type WallTime } from '../types/index.ts';
+import { Balance } from './balance.ts';
 import { Catalogue } from './catalogue.ts';
 import type { DispatchSettings } from './dispatch.ts';
 import { Fronts } from './fronts.ts';
@@ -50,6 +51,7 @@
   private readonly relay: Relay;
   private readonly fronts: Fronts;
   private readonly overload: Overload;
+  private readonly balance: Balance;
   private readonly intake: Intake;
   private readonly peersUp = new Set<NodeId>();
   /** Whether nodes know of jobs that await others, as they said last; versions before 0.2 start such a job at once. */
@@ -69,6 +71,7 @@
     this.relay = new Relay(this.io);
     this.fronts = new Fronts(this.io);
     this.overload = new Overload(this.io);
+    this.balance = new Balance(this.io, settings.workers.reportS);
     this.intake = new Intake(this.io, settings, this.catalogue, this.lookup);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
     this.leadership = new Leadership(this.io, settings.node, rank, {
@@ -128,6 +131,7 @@
       stateDown: share !== null && share.store.downSince !== null,
       writesWaiting: share?.store.backlog ?? 0,
       jobs: share?.jobs.open.size ?? 0,
+      workers: this.balance.workers,
       loadLevel: this.overload.level,
       loopDelayMs: Math.round(this.overload.delayMs),
       requestsShed: this.overload.shed,
@@ -148,7 +152,7 @@
           this.io.emit({ kind: 'answer-user', req: input.req, answer }),
         );
       case 'report':
-        return this.report(input.report, (answer) =>
+        return this.checkIn(input.report, (answer) =>
           this.io.emit({ kind: 'answer-worker', req: input.req, answer }),
         );
       case 'state':
@@ -172,7 +176,12 @@
     const news = this.overload.tick(queuedMs, this.share?.backlogS ?? 0);
     if (news !== null)
       for (const node of this.knowsFronts)
-        this.io.emit({ kind: 'peer', node, message: { kind: 'load', ...news } });
+        this.io.emit({
+          kind: 'peer',
+          node,
+          message: { kind: 'load', ...news, workers: this.balance.workers },
+        });
+    this.balance.tick((node) => this.peersUp.has(node) && this.knowsFronts.has(node));
     this.leadership.tick();
     this.catalogue.tick(this.share !== null);
     this.share?.tick(this.mayCommand());
@@ -205,6 +214,13 @@
 
   // ---- workers
 
+  /** A worker speaks to this node; with too many here, it is sent to another before anything is read. */
+  private checkIn(r: Report, answer: (a: WorkerAnswer) => void): void {
+    const to = this.balance.report(r.machine);
+    if (to !== null) answer({ kind: 'elsewhere', node: to });
+    else this.report(r, answer);
+  }
+
   private report(r: Report, answer: (a: WorkerAnswer) => void): void {
     const { share, leadership: l } = this;
     if (share !== null && r.token > share.machines.token) {
@@ -350,8 +366,10 @@
   private peer(node: NodeId, m: PeerMessage): void {
     this.fronts.heard(node);
     if (m.kind === 'hello') this.hello(m);
-    else if (m.kind === 'load') this.overload.heard(node, m.level, m.afterS);
-    else if (m.kind === 'front') this.fronted(node, m.id, m.report);
+    else if (m.kind === 'load') {
+      this.overload.heard(node, m.level, m.afterS);
+      this.balance.told(node, m.workers);
+    } else if (m.kind === 'front') this.fronted(node, m.id, m.report);
     else if (m.kind === 'fronted') this.fronts.answered(m.id, m.answer);
     else if (m.kind === 'ask') this.asked(node, m.id, m.request);
     else if (m.kind === 'reply') this.replied(m.id, m.answer);
--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -47,7 +47,7 @@
     this.io.pace = Math.min(PACE_MAX, 1 + this.delayMs * PACE_PER_MS);
     if (this.level !== before)
       this.io.log('info', 'load has changed', { level: this.level, delayMs: Math.round(this.delayMs) });
-    if (this.level === before && (this.level === 0 || now < this.nextTell)) return null;
+    if (this.level === before && now < this.nextTell) return null;
     this.nextTell = later(now, TELL_MS);
     return { level: this.level, afterS: this.afterS(backlogS) };
   }
--- a/src/core/reach.ts
+++ b/src/core/reach.ts
@@ -1,16 +1,20 @@
 // Tells operators when the state service or the cloud cannot be reached: at once, then at growing intervals, and when
-// it is back. Without this a controller that can do nothing for its users says nothing at all.
-import { type Instant, later, since } from '../types/index.ts';
+// it is back for good. Without this a controller that can do nothing for its users says nothing at all.
+import { type Instant, LONG_AGO, later, since } from '../types/index.ts';
 import type { Fields, LogLevel } from './io.ts';
 
 type Log = (level: LogLevel, message: string, fields: Fields) => void;
 
 const FIRST_MS = 5000;
 const MAX_MS = 300_000;
+/** A service that answers in between is taken for back only after this long without a failure. */
+const GOOD_MS = 5000;
 
 export class Reach {
+  /** Since when requests fail; null while they are served. */
   private downSince: Instant | null = null;
-  private tellAt = 0 as Instant;
+  private lastFailure: Instant = LONG_AGO;
+  private tellAt: Instant = LONG_AGO;
   private gapMs = FIRST_MS;
   private failures = 0;
 
@@ -23,11 +27,8 @@
   /** `silent`: no answer in time, or no connection. `refused`: an answer that it is not serving. */
   failed(now: Instant, why: 'silent' | 'refused'): void {
     this.failures++;
-    if (this.downSince === null) {
-      this.downSince = now;
-      this.gapMs = FIRST_MS;
-      this.tellAt = now;
-    }
+    this.lastFailure = now;
+    this.downSince ??= now;
     if (now < this.tellAt) return;
     this.tellAt = later(now, this.gapMs);
     this.gapMs = Math.min(MAX_MS, this.gapMs * 2);
@@ -37,10 +38,12 @@
   }
 
   served(now: Instant): void {
-    if (this.downSince === null) return;
-    const forS = Math.round(since(now, this.downSince) / 100) / 10;
+    if (this.downSince === null || since(now, this.lastFailure) < GOOD_MS) return;
+    const forS = Math.round(since(this.lastFailure, this.downSince) / 100) / 10;
+    this.log('info', `the ${this.what} answers again`, { addr: this.addr, forS, failures: this.failures });
     this.downSince = null;
     this.failures = 0;
-    this.log('info', `the ${this.what} answers again`, { addr: this.addr, forS });
+    this.tellAt = LONG_AGO;
+    this.gapMs = FIRST_MS;
   }
 }
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -45,6 +45,16 @@
 /** Of the jobs that a waiting one awaits, so many are told. */
 const NEEDS_SHOWN = 20;
 
+/** Workers give up after 4 s. */
+const EARLY_MS = 2500;
+const EARLY_A_TICK = 150;
+
+interface Early {
+  report: Report;
+  answer: (a: WorkerAnswer) => void;
+  until: Instant;
+}
+
 interface Held {
   m: Machine;
   commands: Command[];
@@ -71,6 +81,7 @@
   private nextFit: Instant = LONG_AGO;
   private readonly held = new Map<MachineId, Held>();
   private readonly holdMs: number;
+  private readonly early: Early[] = [];
   private readonly estimates = new Estimates();
   private readonly io: Outbox;
   private readonly catalogue: Catalogue;
@@ -163,6 +174,7 @@
     this.recovery.tick();
     this.store.tick();
     this.needs.tick();
+    if (this.early.length > 0) this.readEarly();
     if (!this.recovery.loaded) return;
     this.catalogue.record(this.store);
     this.newcomers ??= new Newcomers(this.io, this.jobs, this.recovery.jobsReadAt, this.current);
@@ -214,8 +226,13 @@
    */
   report(r: Report, answer: (a: WorkerAnswer) => void): void {
     const { token } = this.machines;
-    // Raising the token is all that may be done before the records are read.
-    if (!this.recovery.loaded) return answer({ kind: 'orders', token, commands: [] });
+    if (!this.recovery.loaded) {
+      // Raising the token is all that may be done before the records are read. A report made after that waits for
+      // them: answered unread, its machine would be heard a whole report period later.
+      if (r.token === token) this.early.push({ report: r, answer, until: later(this.io.now, EARLY_MS) });
+      else answer({ kind: 'orders', token, commands: [] });
+      return;
+    }
     const m = this.machines.all.get(r.machine) ?? this.adopt(r);
     if (m === null) return answer({ kind: 'elsewhere', node: null });
     this.release(m);
@@ -237,7 +254,12 @@
    */
   front(f: FrontReport, answer: (a: FrontAnswer) => void): void {
     if (f.whole !== null) return this.report(f.whole, answer);
-    if (!this.recovery.loaded) return answer({ kind: 'orders', token: this.machines.token, commands: [] });
+    if (!this.recovery.loaded)
+      return answer(
+        f.token === this.machines.token
+          ? { kind: 'whole' }
+          : { kind: 'orders', token: this.machines.token, commands: [] },
+      );
     const m = this.machines.all.get(f.machine);
     if (m === undefined || m.addr === null || m.listed === null) return answer({ kind: 'whole' });
     if (m.session !== f.session || m.seq !== f.sameAs) return answer({ kind: 'whole' });
@@ -250,6 +272,16 @@
     );
   }
 
+  /** Reports that came before the records were read: in portions, as a whole fleet may have sent one. */
+  private readEarly(): void {
+    const { now } = this.io;
+    if (this.recovery.loaded)
+      for (const e of this.early.splice(0, EARLY_A_TICK)) this.report(e.report, e.answer);
+    const { token } = this.machines;
+    while (this.early.length > 0 && now >= this.early[0]!.until)
+      this.early.shift()!.answer({ kind: 'orders', token, commands: [] });
+  }
+
   /** Answers a held report that has something to tell, or whose time is up. */
   private answerHeld(h: Held): void {
     const { m } = h;
@@ -288,6 +320,7 @@
 
   /** The term is over: workers are sent on. */
   close(): void {
+    for (const e of this.early.splice(0)) e.answer({ kind: 'elsewhere', node: null });
     for (const h of this.held.values()) h.answer({ kind: 'elsewhere', node: null });
     this.held.clear();
   }
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -128,6 +128,8 @@
   readonly logs: string[] = [];
   /** Whether workers begin at all nodes in turn, rather than at the one that owns first. */
   spread = true;
+  /** How often workers report when nothing changes. */
+  reportMs = 1000;
   /** How long tasks run. */
   runS = 5;
   private readonly events = new Agenda();
