The owner keeps few workers; submissions wait for an owner that says it is busy

Change: a worker at the owner counts as four in the balance, and a new owner sends away 12% a second; nodes tell how long their writes wait, and a submission waits that much longer before another node takes it in.

--- a/src/core/balance.ts
+++ b/src/core/balance.ts
@@ -1,6 +1,7 @@
 // How many workers speak to which controller. They choose at random and move on when a node ends, so after a few ends
-// most of them are at one node, which then lacks processor and sockets. A node with many more than the mean sends some
-// to the one with fewest, a few a second.
+// most of them are at one node, which then lacks processor and sockets. A node with many more than its part sends some
+// to the one with fewest, a few a second. The owner's part is small: it reads the reports of all workers anyway, and a
+// connection and its HTTP cost it several times as much as a report that another node passes on.
 import { type Instant, LONG_AGO, later, type MachineId, type NodeId, since } from '../types/index.ts';
 import type { Outbox } from './io.ts';
 
@@ -14,12 +15,18 @@
 const SLACK_MIN = 24;
 /** Part of a node's workers sent away in a second: each makes a new connection there. */
 const PART_A_S = 0.04;
+/** A new owner has as many as any other node, and needs its processor at once. */
+const OWNER_PART_A_S = 0.12;
+/** A worker at the owner counts as so many. */
+const OWNER_WEIGHT = 4;
 /** A worker that is back did not get through; it is left alone for this long. */
 const LEAVE_MS = 120_000;
 
 export class Balance {
   private readonly seen = new Map<MachineId, Instant>();
-  private readonly sizes = new Map<NodeId, { workers: number; until: Instant }>();
+  /** What other nodes told: their workers, weighed. */
+  private readonly sizes = new Map<NodeId, { weight: number; until: Instant }>();
+  private owner = false;
   private readonly sentAway = new Map<MachineId, Instant>();
   private nextSweep: Instant = LONG_AGO;
   /** How many more may be sent away before the next sweep, and where to. */
@@ -36,8 +43,17 @@
     return this.seen.size;
   }
 
-  told(node: NodeId, workers: number): void {
-    this.sizes.set(node, { workers, until: later(this.io.now, TOLD_MS) });
+  setOwner(owner: boolean): void {
+    this.owner = owner;
+  }
+
+  /** What this node carries, as it is told to the others. */
+  get weight(): number {
+    return this.workers * (this.owner ? OWNER_WEIGHT : 1);
+  }
+
+  told(node: NodeId, weight: number): void {
+    this.sizes.set(node, { weight, until: later(this.io.now, TOLD_MS) });
   }
 
   /** Takes note of a report to this node; where its worker should go instead, or null if it may stay. */
@@ -65,19 +81,22 @@
   private plan(reachable: (node: NodeId) => boolean): void {
     this.left = 0;
     this.to = null;
-    let sum = this.workers;
+    const mine = this.weight;
+    let sum = mine;
     let nodes = 1;
     let least = Number.POSITIVE_INFINITY;
     for (const [node, s] of this.sizes) {
       if (this.io.now >= s.until || !reachable(node)) continue;
-      sum += s.workers;
+      sum += s.weight;
       nodes++;
-      if (s.workers >= least) continue;
-      least = s.workers;
+      if (s.weight >= least) continue;
+      least = s.weight;
       this.to = node;
     }
     const mean = sum / nodes;
-    if (this.to === null || this.workers <= Math.max(mean * SLACK, mean + SLACK_MIN)) return;
-    this.left = Math.ceil(Math.min(this.workers - mean, mean - least, this.workers * PART_A_S));
+    if (this.to === null || mine <= Math.max(mean * SLACK, mean + SLACK_MIN)) return;
+    const each = this.owner ? OWNER_WEIGHT : 1;
+    const part = this.workers * (this.owner ? OWNER_PART_A_S : PART_A_S);
+    this.left = Math.ceil(Math.min((mine - mean) / each, mean - least, part));
   }
 }
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -77,6 +77,7 @@
     this.leadership = new Leadership(this.io, settings.node, rank, {
       onOwned: (term) => {
         this.io.stateBudget?.setOwner(true);
+        this.balance.setOwner(true);
         this.share = new Share(
           this.io,
           settings,
@@ -91,6 +92,7 @@
       },
       onLost: () => {
         this.io.stateBudget?.setOwner(false);
+        this.balance.setOwner(false);
         this.share?.close();
         this.share = null;
         this.announce();
@@ -173,13 +175,14 @@
   }
 
   private tick(queuedMs: number): void {
-    const news = this.overload.tick(queuedMs, this.share?.backlogS ?? 0);
+    const backlogS = this.share?.backlogS ?? 0;
+    const news = this.overload.tick(queuedMs, backlogS);
     if (news !== null)
       for (const node of this.knowsFronts)
         this.io.emit({
           kind: 'peer',
           node,
-          message: { kind: 'load', ...news, workers: this.balance.workers },
+          message: { kind: 'load', ...news, workers: this.balance.weight, backlogS },
         });
     this.balance.tick((node) => this.peersUp.has(node) && this.knowsFronts.has(node));
     this.leadership.tick();
@@ -329,10 +332,23 @@
     if (owner === null || owner.node === this.settings.node || !this.peersUp.has(owner.node))
       return this.withoutOwner(request, answer);
     const id = this.nextAsk++;
-    this.forwarded.set(id, { request, answer, deadline: later(this.io.now, FORWARD_MS[request.op]) });
+    this.forwarded.set(id, {
+      request,
+      answer,
+      deadline: later(this.io.now, this.forwardMs(request.op, owner.node)),
+    });
     this.io.emit({ kind: 'peer', node: owner.node, message: { kind: 'ask', id, request } });
   }
 
+  /**
+   * How long the owner is given. One that has much to write, and says so, takes its time: a second record of the job
+   * made here meanwhile would only fail its transaction, and all else that is in it.
+   */
+  private forwardMs(op: UserRequest['op'], owner: NodeId): number {
+    const extra = op === 'submit' ? this.overload.slownessMs(owner) : 0;
+    return Math.min(FORWARD_MS[op] + extra, SERVE_MS.submit);
+  }
+
   /** With no owner in reach, the record still tells a job's state, and new jobs can be put on it; only the owner changes them. */
   private withoutOwner(request: UserRequest, answer: (a: UserAnswer) => void): void {
     if (request.op === 'status') this.lookup.ask(request.id, answer);
@@ -367,7 +383,7 @@
     this.fronts.heard(node);
     if (m.kind === 'hello') this.hello(m);
     else if (m.kind === 'load') {
-      this.overload.heard(node, m.level, m.afterS);
+      this.overload.heard(node, m);
       this.balance.told(node, m.workers);
     } else if (m.kind === 'front') this.fronted(node, m.id, m.report);
     else if (m.kind === 'fronted') this.fronts.answered(m.id, m.answer);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -227,9 +227,9 @@
   | { kind: 'relayed'; id: number; answer: WorkerAnswer | null }
   /**
    * Which requests the sender wants to be spared, and when callers should come again (overload.ts); how many workers
-   * speak to it (balance.ts). Every second.
+   * speak to it, weighed (balance.ts). Every second.
    */
-  | { kind: 'load'; level: 0 | 1 | 2; afterS: number; workers: number }
+  | { kind: 'load'; level: 0 | 1 | 2; afterS: number; workers: number; backlogS: number }
   | { kind: 'front'; id: number; report: FrontReport }
   | { kind: 'fronted'; id: number; answer: FrontAnswer };
 
--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -10,6 +10,15 @@
 /** 0: all is well. 1: questions give way. 2: submissions too. */
 export type Level = 0 | 1 | 2;
 
+/** What a node tells of its load. */
+export interface Told {
+  level: Level;
+  /** Seconds after which callers who are sent back should come again. */
+  afterS: number;
+  /** Seconds that it takes to write what waits to be written. */
+  backlogS: number;
+}
+
 const TICK_MS = 100;
 /** One pause, as for collecting garbage, is no overload: the delay is taken over about this time. */
 const OVER_MS = 1500;
@@ -33,7 +42,7 @@
   level: Level = 0;
   private lastTick: Instant | null = null;
   private nextTell = 0 as Instant;
-  private readonly told = new Map<NodeId, { level: Level; afterS: number; until: Instant }>();
+  private readonly told = new Map<NodeId, Told & { until: Instant }>();
   /** Requests sent back, for operators. */
   shed = 0;
 
@@ -70,15 +79,25 @@
     return Math.min(AFTER_MAX_S, 1 + this.delayMs / 250 + backlogS);
   }
 
-  heard(node: NodeId, level: Level, afterS: number): void {
-    this.told.set(node, { level, afterS, until: later(this.io.now, TOLD_MS) });
+  heard(node: NodeId, { level, afterS, backlogS }: Told): void {
+    this.told.set(node, { level, afterS, backlogS, until: later(this.io.now, TOLD_MS) });
+  }
+
+  private toldBy(node: NodeId | null): Told | null {
+    const told = node === null ? undefined : this.told.get(node);
+    return told !== undefined && this.io.now < told.until ? told : null;
+  }
+
+  /** By how much an answer of the node that takes a write may be late without its being out of reach. */
+  slownessMs(node: NodeId): number {
+    const told = this.toldBy(node);
+    return told === null ? 0 : told.backlogS * 1000 + told.level * 500;
   }
 
   /** What to tell a user at once instead of serving the request; null if it is to be served. */
   refusal(op: UserRequest['op'], owner: NodeId | null, backlogS: number): UserAnswer | null {
     if (op === 'cancel') return null;
-    const told = owner === null ? undefined : this.told.get(owner);
-    const theirs = told !== undefined && this.io.now < told.until ? told : null;
+    const theirs = this.toldBy(owner);
     const level = Math.max(this.level, theirs?.level ?? 0);
     if (level === 0) return null;
     if (op === 'status' ? this.io.random.below(10) >= QUESTIONS_SHED[level]! : level < 2) return null;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -122,7 +122,7 @@
     case 'relay':
       return { relay: { id: m.id, report: JSON.stringify(m.report) } };
     case 'load':
-      return { load: { level: m.level, afterS: m.afterS, workers: m.workers } };
+      return { load: { level: m.level, afterS: m.afterS, workers: m.workers, backlogS: m.backlogS } };
     case 'front':
       return { front: frontFields(m.id, m.report) };
     case 'fronted':
@@ -248,7 +248,8 @@
     };
   if (e.load) {
     const level = Math.min(2, e.load.level ?? 0) as 0 | 1 | 2;
-    return { kind: 'load', level, afterS: e.load.afterS ?? 1, workers: e.load.workers ?? 0 };
+    const { afterS, workers, backlogS } = e.load;
+    return { kind: 'load', level, afterS: afterS ?? 1, workers: workers ?? 0, backlogS: backlogS ?? 0 };
   }
   if (e.front) return { kind: 'front', id: e.front.id ?? 0, report: decodeFront(e.front) };
   if (e.fronted) return { kind: 'fronted', id: e.fronted.id ?? 0, answer: decodeFronted(e.fronted) };
--- a/test/fronts.test.ts
+++ b/test/fronts.test.ts
@@ -192,7 +192,7 @@
       moved++;
     }
     most = Math.max(most, moved);
-    for (const [n, b] of at) for (const other of nodes) if (other !== n) at.get(other)!.told(n, b.workers);
+    for (const [n, b] of at) for (const other of nodes) if (other !== n) at.get(other)!.told(n, b.weight);
     for (const b of at.values()) b.tick(() => true);
   }
   for (const n of nodes) assert.ok(size(n) > 220 && size(n) < 390, `${n}: ${size(n)}`);
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -121,11 +121,13 @@
   const o = new Overload(io);
   const owner = 'node-1' as NodeId;
   io.begin(0 as Instant, 0 as WallTime);
-  o.heard(owner, 2, 6);
+  o.heard(owner, { level: 2, afterS: 6, backlogS: 2 });
+  assert.equal(o.slownessMs(owner), 3000);
   assert.equal(o.refusal('submit', owner, 0)?.kind, 'retry');
   assert.equal(o.refusal('submit', 'node-2' as NodeId, 0), null);
   io.begin(3100 as Instant, 0 as WallTime);
   assert.equal(o.refusal('submit', owner, 0), null);
+  assert.equal(o.slownessMs(owner), 0);
 });
 
 test('an owner whose timer fires late sheds questions and submissions by way of the others, and keeps its leases', () => {
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -185,7 +185,7 @@
     { kind: 'reply', id: 7, answer: null },
     { kind: 'relayed', id: 8, answer: { kind: 'orders', token: 9 as Token, commands: [] } },
     { kind: 'relayed', id: 9, answer: null },
-    { kind: 'load', level: 2, afterS: 3.5, workers: 900 },
+    { kind: 'load', level: 2, afterS: 3.5, workers: 900, backlogS: 1.5 },
     { kind: 'front', id: 10, report: { whole: report } },
     { kind: 'front', id: 11, report: { ...short, noticeS: null, whole: null, sameAs: 87 } },
     { kind: 'front', id: 12, report: { ...short, noticeS: 7.5, whole: null, sameAs: 86 } },
