Reports are passed on as what has changed, and unchanged tasks are not read again

Cause: a report of 10 tasks of which one has changed was passed on and read whole: decoding, a key and two look-ups a task.

Change: both sides keep the list of the last report read; only changed tasks and dropped places are sent, and what has not changed stays the same object, with its entry at hand. A change of any other list than the last is asked for whole.

A story tells lists through 3,000 random changes.

--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -1,9 +1,10 @@
 // Workers spread over all controllers: a node that is not the owner keeps the workers that come to it, passes their
-// reports on over the link to the owner, most as a mere repetition, and brings back the owner's answers. It answers
+// reports on over the link to the owner, most of them as the little that has changed, and brings back the owner's answers. It answers
 // nothing by itself, so who renews a lease and who commands a machine stay with the owner (docs/safety.md).
 import { type Instant, LONG_AGO, later, type MachineId, type NodeId, since } from '../types/index.ts';
 import type { Outbox } from './io.ts';
-import type { FrontAnswer, FrontReport, Report, TaskReport, WorkerAnswer } from './model.ts';
+import { type Change, compare } from './listing.ts';
+import type { FrontAnswer, FrontReport, Report, WorkerAnswer } from './model.ts';
 
 type Answer = (a: WorkerAnswer) => void;
 
@@ -67,15 +68,13 @@
   report(r: Report, owner: NodeId, answer: Answer): void {
     const id = this.nextId++;
     const last = this.read.get(r.machine);
-    const repeats = last !== undefined && last.owner === owner && repetition(r, last.report);
-    this.open.set(id, {
-      report: r,
-      answer,
-      deadline: later(this.io.now, PATIENCE_MS),
-      owner,
-      whole: !repeats,
-    });
-    this.send(id, owner, repeats ? shortened(r, last.report.seq) : { whole: r });
+    const builds = last !== undefined && last.owner === owner && follows(r, last.report);
+    const compared = builds ? compare(last.report.tasks, r.tasks) : null;
+    // What is remembered keeps the objects of the list before, so that comparing the next with it is cheap.
+    const report = compared === null ? r : { ...r, tasks: compared.tasks };
+    const deadline = later(this.io.now, PATIENCE_MS);
+    this.open.set(id, { report, answer, deadline, owner, whole: compared === null });
+    this.send(id, owner, compared === null ? { whole: r } : shortened(r, last!.report.seq, compared));
   }
 
   private send(id: number, owner: NodeId, report: FrontReport): void {
@@ -100,7 +99,6 @@
     const { report, owner } = o;
     const last = this.read.get(report.machine);
     if (last !== undefined && last.owner === owner && !newer(report, last.report)) return;
-    // The list that is repeated stays one object, so that comparing the next report with it is cheap.
     this.read.set(report.machine, { owner, report, at: this.io.now });
   }
 
@@ -172,25 +170,11 @@
 const newer = (a: Report, b: Report): boolean =>
   a.session > b.session || (a.session === b.session && a.seq > b.seq);
 
-function shortened(r: Report, sameAs: number): FrontReport {
+function shortened(r: Report, sameAs: number, { dropped, changed }: Change): FrontReport {
   const { machine, session, seq, token, noticeS } = r;
-  return { whole: null, machine, session, seq, token, noticeS, sameAs };
+  return { whole: null, machine, session, seq, token, noticeS, sameAs, dropped, changed };
 }
 
-/** Whether the report says what an earlier one of the same session said, but for its number, token and notice. */
-function repetition(r: Report, than: Report): boolean {
-  return (
-    r.session === than.session &&
-    r.seq > than.seq &&
-    r.addr === than.addr &&
-    r.tasks.length === than.tasks.length &&
-    r.tasks.every((t, i) => sameTask(t, than.tasks[i]!))
-  );
-}
-
-const sameTask = (a: TaskReport, b: TaskReport): boolean =>
-  a.task === b.task &&
-  a.attempt === b.attempt &&
-  a.state === b.state &&
-  a.why === b.why &&
-  a.saved === b.saved;
+/** Whether the report can be told as what has changed since an earlier one. */
+const follows = (r: Report, than: Report): boolean =>
+  r.session === than.session && r.seq > than.seq && r.addr === than.addr;
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -41,6 +41,9 @@
   sentAt: Instant;
   runningAt: Instant | null;
   stopping: { graceS: number } | null;
+  /** The last report that listed it, and whether it has left its machine; for machines.ts. */
+  seen?: number;
+  gone?: boolean;
 }
 
 export interface FinalRecord {
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -13,6 +13,7 @@
 } from '../types/index.ts';
 import type { Outbox } from './io.ts';
 import { type Entry, type Job, type Jobs, Task } from './jobs.ts';
+import { compare } from './listing.ts';
 import type { Command, MachineType, Report, Settings, TaskReport } from './model.ts';
 import type { Quota } from './quota.ts';
 import type { Place, Rooms } from './rooms.ts';
@@ -25,6 +26,24 @@
 const BACKOFF_MS = 1000;
 const BACKOFF_MAX_MS = 20_000;
 
+/** An exited task that its machine still reports, until it is told to forget it. */
+interface Exited {
+  task: TaskReport['task'];
+  attempt: Attempt;
+  job: JobId;
+  index: number;
+  why: string;
+  seen: number;
+  gone?: boolean;
+}
+
+/** A listed task with what became of it, so that the same object listed again needs no look. */
+interface Listed extends TaskReport {
+  by?: Machines;
+  entry?: Entry;
+  exit?: Exited;
+}
+
 export interface Queued {
   job: Job;
   index: number;
@@ -60,10 +79,7 @@
   strays: Stray[] = [];
   readonly queue: Queued[] = [];
   /** Exited tasks to be forgotten once recorded: key to job and index. */
-  readonly exited = new Map<
-    string,
-    { task: TaskReport['task']; attempt: Attempt; job: JobId; index: number; why: string }
-  >();
+  readonly exited = new Map<string, Exited>();
   lastReport: Instant;
   /** When everything on it is gone for certain, unless it is answered again. */
   leaseEnds: Instant;
@@ -205,15 +221,16 @@
     // Held back by a cut: sent in a session that is over for certain, it lists tasks that are long gone.
     if (r.session <= m.endedSession) return null;
     if (r.session > m.session) this.newSession(m, r);
+    const tasks = m.listed === null ? r.tasks : compare(m.listed, r.tasks).tasks;
     m.seq = r.seq;
     m.seenToken = r.token;
     m.addr = r.addr;
     m.up = true;
     m.lastReport = this.io.now;
     this.setNotice(m, r.noticeS);
-    if (m.plain && r.tasks === m.listed) m.idleSince = m.empty ? m.idleSince : this.io.now;
-    else this.readTasks(m, r);
-    m.listed = r.tasks;
+    if (m.plain && tasks === m.listed) m.idleSince = m.empty ? m.idleSince : this.io.now;
+    else this.readTasks(m, tasks, r.seq);
+    m.listed = tasks;
     if (r.token === this.token && !m.synced) {
       m.synced = true;
       this.io.log('debug', 'machine heard', { machine: m.id, tasks: m.entries.size });
@@ -234,6 +251,7 @@
       this.io.log('info', 'tasks lost: session ended', { machine: m.id, tasks: m.entries.size });
     this.clear(m);
     m.session = r.session;
+    m.listed = null;
     m.strays = [];
   }
 
@@ -241,6 +259,7 @@
   clear(m: Machine): void {
     for (const e of [...m.entries.values()]) this.gone(m, e);
     // Nobody is left to be told to forget them; kept, they would keep a lost machine from being returned.
+    for (const x of m.exited.values()) x.gone = true;
     m.exited.clear();
     this.takeBackAll(m);
     this.host.poke();
@@ -318,29 +337,33 @@
     this.host.poke();
   }
 
-  private readTasks(m: Machine, r: Report): void {
-    const listed = new Set<string>();
+  private readTasks(m: Machine, tasks: readonly Listed[], seq: number): void {
     m.strays = [];
-    for (const t of r.tasks) {
-      const key = entryKey(t.task, t.attempt);
-      listed.add(key);
-      if (t.state === 'exited') this.exit(m, key, t);
-      else this.present(m, key, t);
+    for (const t of tasks) {
+      // Read before, by this owner, and nothing has become of it since: listed, and no more to say.
+      const known = t.by === this ? (t.entry ?? t.exit) : undefined;
+      if (known !== undefined && known.gone !== true) known.seen = seq;
+      else if (t.state === 'exited') this.exit(m, entryKey(t.task, t.attempt), t, seq);
+      else this.present(m, entryKey(t.task, t.attempt), t, seq);
     }
     for (const [key, e] of m.entries) {
       // Commands answer one report at a time, so a later report without the task shows it was not started, or is gone.
-      if (!listed.has(key) && e.sentSeq < r.seq) {
+      if (e.seen !== seq && e.sentSeq < seq) {
         this.io.log('info', 'task not on its machine', { machine: m.id, task: key, state: e.state });
         this.gone(m, e);
       }
     }
-    for (const key of m.exited.keys()) if (!listed.has(key)) m.exited.delete(key);
+    for (const [key, x] of m.exited) {
+      if (x.seen === seq) continue;
+      x.gone = true;
+      m.exited.delete(key);
+    }
     if (!m.empty) m.idleSince = this.io.now;
     // A task sent since is missing from the list: its absence from the next one tells something.
-    m.plain = m.exited.size === 0 && m.strays.length === 0 && m.entries.size === r.tasks.length;
+    m.plain = m.exited.size === 0 && m.strays.length === 0 && m.entries.size === tasks.length;
   }
 
-  private present(m: Machine, key: string, t: TaskReport): void {
+  private present(m: Machine, key: string, t: Listed, seq: number): void {
     let e = m.entries.get(key);
     if (e === undefined) {
       const { job: id, index } = splitTask(t.task);
@@ -352,6 +375,9 @@
       e = this.enter(m, job, index, t.attempt, -1);
       if (job.spec.kind === 'gang') job.gangAttempt ??= t.attempt;
     }
+    t.by = this;
+    t.entry = e;
+    e.seen = seq;
     const state = t.state === 'exited' ? 'running' : t.state;
     if (state !== 'fetching') this.noteImage(m, e.job);
     if (state === 'running' && e.runningAt === null) {
@@ -412,6 +438,7 @@
     const key = entryKey(`${job.id}/${index}`, e.attempt);
     if (!m.entries.delete(key)) return;
     m.plain = false;
+    e.gone = true;
     job.dropEntry(e);
     if (e.runningAt !== null) job.running--;
     this.countUsed(m, job, -1);
@@ -423,11 +450,26 @@
     this.host.poke();
   }
 
-  private exit(m: Machine, key: string, t: TaskReport): void {
-    if (m.exited.has(key)) return;
+  private exit(m: Machine, key: string, t: Listed, seq: number): void {
+    const before = m.exited.get(key);
+    t.by = this;
+    if (before !== undefined) {
+      before.seen = seq;
+      t.exit = before;
+      return;
+    }
     const { job: id, index } = splitTask(t.task);
     const job = this.jobs.open.get(id);
-    m.exited.set(key, { task: t.task, attempt: t.attempt, job: id, index, why: t.why ?? 'error' });
+    const exit: Exited = {
+      task: t.task,
+      attempt: t.attempt,
+      job: id,
+      index,
+      why: t.why ?? 'error',
+      seen: seq,
+    };
+    t.exit = exit;
+    m.exited.set(key, exit);
     if (job === undefined || index >= job.spec.tasks) return;
     const e = m.entries.get(key);
     this.judge(m, job, index, t, e);
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -122,7 +122,7 @@
   seq: number;
   token: Token;
   noticeS: number | null;
-  tasks: TaskReport[];
+  tasks: readonly TaskReport[];
 }
 
 export type Command =
@@ -243,8 +243,10 @@
       seq: number;
       token: Token;
       noticeS: number | null;
-      /** Its machine, tasks and their states are those of the report with this number, of the same session. */
+      /** Its machine is that of the report with this number, of the same session, and its tasks but for what follows. */
       sameAs: number;
+      dropped: number[];
+      changed: { at: number; task: TaskReport }[];
     };
 
 /** `whole`: what it repeats is not the report read last. null: the node asked does not own the machine. */
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -8,6 +8,7 @@
 import { Gather } from './gather.ts';
 import type { Outbox } from './io.ts';
 import { type Entry, type Job, Jobs, retry } from './jobs.ts';
+import { apply } from './listing.ts';
 import type { Lookup } from './lookup.ts';
 import { type Machine, Machines } from './machines.ts';
 import type {
@@ -249,8 +250,8 @@
   }
 
   /**
-   * A report that another node passes on. One that repeats an earlier one is read as that one with a new number, and
-   * only if that was the last to be read: otherwise it is asked for whole.
+   * A report that another node passes on. One that builds on an earlier one is read only if that was the last to be
+   * read: otherwise it is asked for whole.
    */
   front(f: FrontReport, answer: (a: FrontAnswer) => void): void {
     if (f.whole !== null) return this.report(f.whole, answer);
@@ -264,8 +265,9 @@
     if (m === undefined || m.addr === null || m.listed === null) return answer({ kind: 'whole' });
     if (m.session !== f.session || m.seq !== f.sameAs) return answer({ kind: 'whole' });
     const { machine, session, seq, token, noticeS } = f;
-    const { addr, zone, spot, listed } = m;
-    const tasks = listed as Report['tasks'];
+    const tasks = apply(m.listed, f);
+    if (tasks === null) return answer({ kind: 'whole' });
+    const { addr, zone, spot } = m;
     this.report(
       { machine, addr, type: m.type.name, zone, spot, session, seq, token, noticeS, tasks },
       answer,
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -81,19 +81,22 @@
 ];
 const OPS: Command['op'][] = ['start', 'stop', 'forget'];
 
+const pieceFields = (t: TaskReport): swiftford.peer.IPiece => ({
+  task: t.task,
+  attempt: t.attempt,
+  state: STATES.indexOf(t.state),
+  why: REASONS.indexOf(t.why),
+  saved: t.saved,
+});
+
 function frontFields(id: number, f: FrontReport): swiftford.peer.IFront {
   if (f.whole === null) {
-    const { machine, session, seq, token, noticeS, sameAs } = f;
-    return { id, machine, session, seq, token, noticeS, sameAs };
+    const { machine, session, seq, token, noticeS, sameAs, dropped } = f;
+    const pieces = f.changed.map((c) => ({ ...pieceFields(c.task), at: c.at }));
+    return { id, machine, session, seq, token, noticeS, sameAs, dropped, pieces };
   }
   const { machine, session, seq, token, noticeS, addr, type, zone, spot, tasks } = f.whole;
-  const pieces = tasks.map((t) => ({
-    task: t.task,
-    attempt: t.attempt,
-    state: STATES.indexOf(t.state),
-    why: REASONS.indexOf(t.why),
-    saved: t.saved,
-  }));
+  const pieces = tasks.map(pieceFields);
   return { id, machine, session, seq, token, noticeS, addr, type, zone, spot, pieces };
 }
 
@@ -203,7 +206,10 @@
     noticeS: f.noticeS ?? null,
   };
   const sameAs = Number(f.sameAs ?? 0);
-  if (sameAs > 0) return { whole: null, ...head, sameAs };
+  if (sameAs > 0) {
+    const changed = (f.pieces ?? []).map((p) => ({ at: p.at ?? 0, task: decodePiece(p) }));
+    return { whole: null, ...head, sameAs, dropped: f.dropped ?? [], changed };
+  }
   return {
     whole: {
       ...head,
--- a/test/fronts.test.ts
+++ b/test/fronts.test.ts
@@ -3,17 +3,18 @@
 import { test } from 'node:test';
 import { Balance } from '../src/core/balance.ts';
 import { Outbox } from '../src/core/io.ts';
-import type { FrontAnswer, FrontReport, PeerMessage, Report } from '../src/core/model.ts';
+import { apply, compare } from '../src/core/listing.ts';
+import type { FrontAnswer, FrontReport, PeerMessage, Report, TaskReport } from '../src/core/model.ts';
 import type { Share } from '../src/core/share.ts';
 import { Rank, StateBudget } from '../src/core/statebudget.ts';
 import { seeded } from '../src/runtime/random.ts';
-import type { Instant, MachineId, NodeId, WallTime } from '../src/types/index.ts';
+import type { Attempt, Instant, MachineId, NodeId, TaskId, WallTime } from '../src/types/index.ts';
 import { job, World } from './support/world.ts';
 
 const shareOf = (w: World): Share => w.nodes.get(w.owner!)!.share!;
 const short = (r: Report, sameAs: number): FrontReport => {
   const { machine, session, seq, token, noticeS } = r;
-  return { whole: null, machine, session, seq, token, noticeS, sameAs };
+  return { whole: null, machine, session, seq, token, noticeS, sameAs, dropped: [], changed: [] };
 };
 
 test('workers stay with the node they came to; most of what is passed on only repeats, and work is done', () => {
@@ -82,6 +83,33 @@
   assert.equal(answers.at(-1)?.kind, 'orders');
 });
 
+test('lists are told by what has changed, whatever happens to them, and a change of another list is not taken', () => {
+  const random = seeded(11);
+  const task = (n: number): TaskReport => ({
+    task: `run-${n}/0` as TaskId,
+    attempt: (n + 1) as Attempt,
+    state: 'running',
+    why: null,
+    saved: false,
+  });
+  let before: readonly TaskReport[] = [];
+  for (let i = 0; i < 3000; i++) {
+    const now = before.filter(() => random.below(5) > 0).map((t) => ({ ...t }));
+    for (const t of now) if (random.below(4) === 0) Object.assign(t, { state: 'exited', why: 'done' });
+    for (let k = random.below(4); k > 0; k--) now.splice(random.below(now.length + 1), 0, task(i * 4 + k));
+    if (random.below(10) === 0) now.reverse();
+    const c = compare(before, now);
+    assert.deepEqual(c.tasks, now);
+    const { dropped, changed } = c;
+    assert.deepEqual(apply(before, { dropped, changed }), now);
+    // What has not changed is the object that it was, on both sides.
+    for (const t of c.tasks) assert.equal(before.includes(t), !changed.some((x) => x.task === t));
+    if (dropped.length > 0 && before.length === dropped.at(-1)! + 1)
+      assert.equal(apply(before.slice(0, -1), { dropped, changed }), null);
+    before = c.tasks;
+  }
+});
+
 test('lost, repeated and late messages between nodes neither double nor lose a task', () => {
   const w = new World();
   w.runS = 6;
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -167,6 +167,8 @@
       { ...task, state: 'exited', why: 'no_room' },
     ],
   };
+  const none = { dropped: [], changed: [] };
+  const changed = [{ at: 1, task: { ...task, state: 'saving' as const, why: null } }];
   const commands: Command[] = [
     { op: 'start', task: task.task, attempt: task.attempt },
     { op: 'stop', task: task.task, attempt: task.attempt, graceS: 2.5 },
@@ -187,8 +189,12 @@
     { kind: 'relayed', id: 9, answer: null },
     { kind: 'load', level: 2, afterS: 3.5, workers: 900, backlogS: 1.5 },
     { kind: 'front', id: 10, report: { whole: report } },
-    { kind: 'front', id: 11, report: { ...short, noticeS: null, whole: null, sameAs: 87 } },
-    { kind: 'front', id: 12, report: { ...short, noticeS: 7.5, whole: null, sameAs: 86 } },
+    { kind: 'front', id: 11, report: { ...short, ...none, noticeS: null, whole: null, sameAs: 87 } },
+    {
+      kind: 'front',
+      id: 12,
+      report: { ...short, noticeS: 7.5, whole: null, sameAs: 86, dropped: [0, 2], changed },
+    },
     { kind: 'fronted', id: 10, answer: { kind: 'orders', token: 41 as Token, commands } },
     { kind: 'fronted', id: 11, answer: { kind: 'elsewhere', node: null } },
     { kind: 'fronted', id: 12, answer: { kind: 'whole' } },
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -272,7 +272,9 @@
         if (this.tapPeer?.(e.message) === false) return;
         return this.send(name, e.node, () => {
           const old = e.message.kind === 'hello' && this.oldForm.has(name);
-          const message = old ? { ...e.message, chains: false, fronts: false } : e.message;
+          // What is sent shares no memory with the sender.
+          const sent = structuredClone(e.message);
+          const message = old ? { ...e.message, chains: false, fronts: false } : sent;
           this.input(e.node, { kind: 'peer', node: name as NodeId, message });
         });
       case 'answer-user':
