--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,7 +10,7 @@
 import { Node } from '../runtime/node.ts';
 import { defaults, KEYS, type Options, readOptions } from './options.ts';
 
-const VERSION = '0.2.0';
+const VERSION = '0.3.0';
 const ASK_MS = 3000;
 
 function readText(file: string): string {
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -384,6 +384,8 @@
     if (m.kind === 'hello') this.hello(m);
     else if (m.kind === 'load') {
       this.overload.heard(node, m);
+      // It greets only when its own link comes up; after this node's link alone broke, this tells as much.
+      this.knowsFronts.add(node);
       this.balance.told(node, m.workers);
     } else if (m.kind === 'front') this.fronted(node, m.id, m.report);
     else if (m.kind === 'fronted') this.fronts.answered(m.id, m.answer);
