Early reports are not answered past the bound on renewing leases

Cause: found on reading the change again; a report that waited for the records when the owner's right to command ended was still answered under its token, up to 2.5 s past the bound of docs/safety.md, point 3. The story was seen to fail with the guard broken.

--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -175,7 +175,9 @@
     this.recovery.tick();
     this.store.tick();
     this.needs.tick();
-    if (this.early.length > 0) this.readEarly();
+    // Any answer under the token renews a lease: past the bound these must not be answered either.
+    if (!mayCommand) this.closeEarly();
+    else if (this.early.length > 0) this.readEarly();
     if (!this.recovery.loaded) return;
     this.catalogue.record(this.store);
     this.newcomers ??= new Newcomers(this.io, this.jobs, this.recovery.jobsReadAt, this.current);
@@ -322,11 +324,15 @@
 
   /** The term is over: workers are sent on. */
   close(): void {
-    for (const e of this.early.splice(0)) e.answer({ kind: 'elsewhere', node: null });
+    this.closeEarly();
     for (const h of this.held.values()) h.answer({ kind: 'elsewhere', node: null });
     this.held.clear();
   }
 
+  private closeEarly(): void {
+    for (const e of this.early.splice(0)) e.answer({ kind: 'elsewhere', node: null });
+  }
+
   /** A machine nobody expected: rented by an unanswered request, or by an earlier owner. */
   private adopt(r: Report): Machine | null {
     const type = this.fleet.types.get(r.type);
--- a/test/fronts.test.ts
+++ b/test/fronts.test.ts
@@ -181,6 +181,24 @@
   assert.deepEqual(w.broken, []);
 });
 
+test('a report that waits for the records is not answered once the owner may no longer renew leases', () => {
+  const w = new World({}, ['node-0']);
+  w.submit(job('run-1', { tasks: 2, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 1));
+  w.crash('node-0');
+  w.run(6);
+  w.state.unreadable = 'm/';
+  w.start('node-0');
+  assert.ok(w.until(() => w.owner !== undefined, 20));
+  const { share, leadership } = w.nodes.get('node-0')!;
+  const x = [...w.workers.values()][0]!;
+  const answers: (string | undefined)[] = [];
+  share!.report({ ...x.report(), token: leadership.term as never }, (a) => answers.push(a.kind));
+  assert.deepEqual(answers, []);
+  share!.tick(false);
+  assert.deepEqual(answers, ['elsewhere']);
+});
+
 test('a front whose owner stops answering sends its workers there themselves, and tries again later', () => {
   const w = new World();
   w.runS = 40;
