Reports passed on take turns with direct ones; early reports are read a few at a time

Change: frames with reports are told apart undecoded and worked on in slices like those over HTTP; 30 early reports a tick and 2 with each other input.

--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -48,7 +48,9 @@
 
 /** Workers give up after 4 s. */
 const EARLY_MS = 2500;
-const EARLY_A_TICK = 150;
+/** Read so many a tick and, as other inputs come, so many with each: the fleet's reports must not hold up the timer. */
+const EARLY_A_TICK = 30;
+const EARLY_A_STEP = 2;
 
 interface Early {
   report: Report;
@@ -177,7 +179,7 @@
     this.needs.tick();
     // Any answer under the token renews a lease: past the bound these must not be answered either.
     if (!mayCommand) this.closeEarly();
-    else if (this.early.length > 0) this.readEarly();
+    else if (this.early.length > 0) this.readEarly(EARLY_A_TICK);
     if (!this.recovery.loaded) return;
     this.catalogue.record(this.store);
     this.newcomers ??= new Newcomers(this.io, this.jobs, this.recovery.jobsReadAt, this.current);
@@ -202,6 +204,7 @@
   /** After any input: work that has come may start at once on a machine whose report is held. */
   settle(): void {
     if (!this.recovery.loaded) return;
+    if (this.early.length > 0) this.readEarly(EARLY_A_STEP);
     if (this.dispatch.pass())
       for (const h of this.held.values()) {
         h.fresh = false;
@@ -277,10 +280,9 @@
   }
 
   /** Reports that came before the records were read: in portions, as a whole fleet may have sent one. */
-  private readEarly(): void {
+  private readEarly(most: number): void {
     const { now } = this.io;
-    if (this.recovery.loaded)
-      for (const e of this.early.splice(0, EARLY_A_TICK)) this.report(e.report, e.answer);
+    if (this.recovery.loaded) for (const e of this.early.splice(0, most)) this.report(e.report, e.answer);
     const { token } = this.machines;
     while (this.early.length > 0 && now >= this.early[0]!.until)
       this.early.shift()!.answer({ kind: 'orders', token, commands: [] });
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -270,21 +270,35 @@
   return null;
 }
 
+/** The first byte of a frame with a report passed on: field 6, a message. */
+const FRONT_TAG = (6 << 3) | 2;
+
+/** Whether a frame holds a worker's report, of which there may be thousands at once; told without decoding it. */
+export const isFront = (frame: Uint8Array): boolean => frame[0] === FRONT_TAG;
+
+/** null: of a kind that this version does not know. */
+export const decodeFrame = (frame: Uint8Array): PeerMessage | null => decodePeer(frame);
+
 /** Collects bytes into frames; throws on a frame no peer of ours would send. */
 export class PeerDecoder {
   private pending: Buffer = Buffer.alloc(0);
 
-  feed(chunk: Buffer): PeerMessage[] {
+  frames(chunk: Buffer): Buffer[] {
     this.pending = this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const out: PeerMessage[] = [];
+    const out: Buffer[] = [];
     while (this.pending.length >= 4) {
       const size = this.pending.readUInt32BE(0);
       if (size > MAX_FRAME) throw new Error('peer frame too large');
       if (this.pending.length < 4 + size) break;
-      const message = decodePeer(this.pending.subarray(4, 4 + size));
+      out.push(this.pending.subarray(4, 4 + size));
       this.pending = this.pending.subarray(4 + size);
-      if (message !== null) out.push(message);
     }
     return out;
   }
+
+  feed(chunk: Buffer): PeerMessage[] {
+    return this.frames(chunk)
+      .map(decodeFrame)
+      .filter((m) => m !== null);
+  }
 }
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -66,6 +66,7 @@
         down: (node) => this.step({ kind: 'peer-down', node }),
         message: (node, message) => this.step({ kind: 'peer', node: node as NodeId, message }),
       },
+      this.turns,
       (e) => this.log('error', 'peer address cannot be used', { error: e.message }),
     );
     this.listen();
--- a/src/runtime/peers.ts
+++ b/src/runtime/peers.ts
@@ -1,7 +1,8 @@
 // Links to the other controllers: each node dials every other and speaks on the link it dialled.
 import { connect, createServer, type Socket } from 'node:net';
 import type { PeerMessage, Settings } from '../core/model.ts';
-import { encodePeer, PeerDecoder } from '../protocol/peer.ts';
+import type { Turns } from '../http/turns.ts';
+import { decodeFrame, encodePeer, isFront, PeerDecoder } from '../protocol/peer.ts';
 import type { NodeId } from '../types/index.ts';
 import { splitAddr } from './addr.ts';
 
@@ -9,6 +10,8 @@
 const DIAL_TIMEOUT_MS = 1500;
 /** A link that takes nothing for this long is given up: behind a cut it would swallow messages. */
 const STUCK_BYTES = 2 * 1024 * 1024;
+/** The node that passes a report on gives it up after this. */
+const REPORT_MS = 3400;
 /** Reports are passed on in company: each write and each read costs more than the frame in it. */
 const GATHER_MS = 10;
 
@@ -78,10 +81,10 @@
 export class Peers {
   private readonly links = new Map<NodeId, Link>();
 
-  constructor(settings: Settings, host: PeersHost, onError: (e: Error) => void) {
+  constructor(settings: Settings, host: PeersHost, turns: Turns, onError: (e: Error) => void) {
     const { host: bind, port } = splitAddr(settings.peerListen);
     const names = new Set(settings.peers.map((p) => p.node));
-    createServer({ noDelay: true }, (socket) => listen(socket, names, host))
+    createServer({ noDelay: true }, (socket) => listen(socket, names, host, turns))
       .on('error', onError)
       .listen({ host: bind, port });
     for (const p of settings.peers) this.links.set(p.node, new Link(p.node, p.addr, host));
@@ -93,19 +96,37 @@
 }
 
 /** An incoming link: its first message says who speaks. */
-function listen(socket: Socket, names: Set<NodeId>, host: PeersHost): void {
+function listen(socket: Socket, names: Set<NodeId>, host: PeersHost, turns: Turns): void {
   const decoder = new PeerDecoder();
   let node: NodeId | null = null;
-  socket.on('error', () => socket.destroy());
-  socket.on('data', (data) => {
+  const guarded = (work: () => void): void => {
     try {
-      for (const m of decoder.feed(data)) {
-        if (m.kind === 'hello' && names.has(m.node)) node = m.node;
-        if (node === null) return void socket.destroy();
-        host.message(node, m);
-      }
+      work();
     } catch {
       socket.destroy();
     }
-  });
+  };
+  const take = (frame: Buffer): void => {
+    const m = decodeFrame(frame);
+    if (m === null) return;
+    if (m.kind === 'hello' && names.has(m.node)) node = m.node;
+    if (node === null) return void socket.destroy();
+    host.message(node, m);
+  };
+  const front = { urgency: 0, uselessAfterMs: REPORT_MS } as const;
+  socket.on('error', () => socket.destroy());
+  socket.on('data', (data) =>
+    guarded(() => {
+      // Reports take their turn with those that come directly; after a take-over a whole fleet's come at once.
+      for (const frame of decoder.frames(data))
+        if (!isFront(frame)) take(frame);
+        else
+          turns.add({
+            ...front,
+            since: performance.now(),
+            run: () => guarded(() => take(frame)),
+            drop: () => {},
+          });
+    }),
+  );
 }
--- a/test/protocol.test.ts
+++ b/test/protocol.test.ts
@@ -6,7 +6,7 @@
 import { formatReply } from '../src/http/server.ts';
 import { decodeCloudReply } from '../src/protocol/cloud.ts';
 import { encodeUserAnswer, InvalidMessage, parseJob } from '../src/protocol/job.ts';
-import { encodePeer, PeerDecoder } from '../src/protocol/peer.ts';
+import { encodePeer, isFront, PeerDecoder } from '../src/protocol/peer.ts';
 import { parseSettings } from '../src/protocol/settings.ts';
 import { decodeStateReply, encodeStateOp } from '../src/protocol/state.ts';
 import { encodeWorkerAnswer, parseReport } from '../src/protocol/worker.ts';
@@ -206,6 +206,8 @@
     [...bytes].flatMap((b) => decoder.feed(Buffer.from([b]))),
     messages,
   );
+  // Reports are told from all else without being decoded.
+  for (const m of messages) assert.equal(isFront(encodePeer(m).subarray(4)), m.kind === 'front');
 });
 
 const platform = {
