A forwarded cancellation is given its 3 s again

Cause: found on reading the change again. The limit on how long a submission waits for a busy owner was laid on cancellations too, which were given up after 2.9 s instead of 3, just as the owner's own answer to come back later was due. Only the reason that the user read could differ, so there is no story for it.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -345,8 +345,8 @@
    * made here meanwhile would only fail its transaction, and all else that is in it.
    */
   private forwardMs(op: UserRequest['op'], owner: NodeId): number {
-    const extra = op === 'submit' ? this.overload.slownessMs(owner) : 0;
-    return Math.min(FORWARD_MS[op] + extra, SERVE_MS.submit);
+    if (op !== 'submit') return FORWARD_MS[op];
+    return Math.min(FORWARD_MS.submit + this.overload.slownessMs(owner), SERVE_MS.submit);
   }
 
   /** With no owner in reach, the record still tells a job's state, and new jobs can be put on it; only the owner changes them. */
