One bucket, one parking place, one comparison: what the change had written twice

- The budget for the state service had a token bucket of its own beside Budget: Budget (now in budget.ts) can run into debt and be resized, and serves both.
Overdue questions are given up in one place instead of two.
- Reports waiting for an owner and reports waiting for the records kept two lists with deadlines: Parking serves both.
- Supply and Dispatch each compared what jobs take and where they may run: takesAsMuch and placesOf serve both.
- The rank of a request stands before its callback, so the default time is no longer repeated at nine places.
- The check for a higher token, and who the owner is if another node, have one place each in the controller.
An unchanged list is recognised before it is compared. reach.ts no longer refers back to io.ts.

--- a/scripts/drill/load.ts
+++ b/scripts/drill/load.ts
@@ -111,13 +111,13 @@
   }
 }
 
-const settingsFor = (node: string, others: string[]): Settings =>
+const settingsFor = (node: string): Settings =>
   ({
     node,
     zone: 'east',
     listen: '10.0.0.1:80',
     peerListen: '10.0.0.1:81',
-    peers: others.map((n) => ({ node: n, zone: 'east', addr: '10.0.0.2:81' })),
+    peers: [],
     cloudAddr: '10.0.0.9:1',
     stateAddr: '10.0.0.8:1',
     zones: ['east', 'west'],
@@ -131,10 +131,18 @@
     writeRpsNow: 600,
     cloud: { rps: 50, listLagS: 1 },
     sockets: 10_000,
-    ramMb: 1000,
-    cpuShare: 1,
   }) as unknown as Settings;
 
+const none = (): Record<Kind, number> => ({
+  report: 0,
+  submit: 0,
+  poll: 0,
+  write: 0,
+  pass: 0,
+  plan: 0,
+  tick: 0,
+});
+
 export class Load {
   now = 0;
   private readonly agenda = new Agenda();
@@ -152,27 +160,10 @@
   private made = 0;
   private submitted = 0;
   private readonly openJobs: string[] = [];
-  readonly spent: Record<Kind, number> = {
-    report: 0,
-    submit: 0,
-    poll: 0,
-    write: 0,
-    pass: 0,
-    plan: 0,
-    tick: 0,
-  };
-  readonly count: Record<Kind, number> = {
-    report: 0,
-    submit: 0,
-    poll: 0,
-    write: 0,
-    pass: 0,
-    plan: 0,
-    tick: 0,
-  };
+  readonly spent: Record<Kind, number> = none();
+  readonly count: Record<Kind, number> = none();
   private inner = 0;
   measuring = false;
-  /** Commits are refused as too many while true, so that the queue of writes can be looked at. */
   private hold = 1;
 
   constructor(
@@ -205,7 +196,7 @@
 
   private start(node: string): Controller {
     const core = new this.lib.Controller(
-      settingsFor(node, []),
+      settingsFor(node),
       { threshold: 1, takeBackMs: 10_000 },
       this.lib.seeded(3),
     );
@@ -267,19 +258,21 @@
         return later(2, () => ({ kind: 'worker', tag: e.tag, reply: { kind: 'no-answer' } }));
       case 'answer-user': {
         this.beside('submit', () => this.lib.encodeUserAnswer(e.answer));
-        const done = this.answers.get(e.req);
-        this.answers.delete(e.req);
-        return done?.(e.answer as never);
+        return this.answer(e.req, e.answer);
       }
       case 'answer-worker': {
         const body = this.beside('report', () => this.lib.encodeWorkerAnswer(e.answer));
-        const done = this.answers.get(e.req);
-        this.answers.delete(e.req);
-        return done?.(body as never);
+        return this.answer(e.req, body);
       }
     }
   }
 
+  private answer(req: number, a: unknown): void {
+    const done = this.answers.get(req);
+    this.answers.delete(req);
+    done?.(a as never);
+  }
+
   // ---- records
 
   private wake(): void {
@@ -455,12 +448,10 @@
   private fronted(message: PeerMessage): void {
     if (message.kind !== 'fronted') return;
     this.beside('report', () => this.lib.encodePeer!(message));
-    const done = this.answers.get(message.id);
-    this.answers.delete(message.id);
     const a = message.answer;
     const told =
       a?.kind === 'orders' ? this.lib.encodeWorkerAnswer(a) : { status: a === null ? 421 : 409, body: '' };
-    done?.(told as never);
+    this.answer(message.id, told);
   }
 
   private answered(w: Worker, a: { status: number; body: string }): void {
--- a/scripts/regress.ts
+++ b/scripts/regress.ts
@@ -24,13 +24,7 @@
   score: number | null;
   error: string | null;
   why?: string;
-  days?: {
-    name: string;
-    seed: number;
-    score: number | null;
-    rules: Record<string, number>;
-    fault: string | null;
-  }[];
+  days?: PlayedDay[];
 }
 
 interface Options {
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,5 +1,12 @@
 // The core of one controller: a state machine that takes inputs and returns what to send and answer.
-import { type Instant, later, type NodeId, type Revision, type WallTime } from '../types/index.ts';
+import {
+  type Instant,
+  later,
+  type NodeId,
+  type Revision,
+  type Token,
+  type WallTime,
+} from '../types/index.ts';
 import { Balance } from './balance.ts';
 import { Catalogue } from './catalogue.ts';
 import type { DispatchSettings } from './dispatch.ts';
@@ -7,7 +14,7 @@
 import { Intake } from './intake.ts';
 import { type Effect, type Input, Outbox, type Random } from './io.ts';
 import { retry } from './jobs.ts';
-import { HOLD_MS, Leadership } from './leadership.ts';
+import { HOLD_MS, Leadership, type OwnerRecord } from './leadership.ts';
 import { Lookup } from './lookup.ts';
 import type {
   FrontAnswer,
@@ -190,8 +197,7 @@
     this.share?.tick(this.mayCommand());
     this.lookup.tick();
     this.relay.tick();
-    const { owner } = this.leadership;
-    this.fronts.tick(owner?.node === this.settings.node ? null : (owner?.node ?? null));
+    this.fronts.tick(this.otherOwner?.node ?? null);
     this.expire();
   }
 
@@ -217,6 +223,12 @@
 
   // ---- workers
 
+  /** The owner as far as is known, if it is another node. */
+  private get otherOwner(): OwnerRecord | null {
+    const { owner } = this.leadership;
+    return owner?.node === this.settings.node ? null : owner;
+  }
+
   /** A worker speaks to this node; with too many here, it is sent to another before anything is read. */
   private checkIn(r: Report, answer: (a: WorkerAnswer) => void): void {
     const to = this.balance.report(r.machine);
@@ -224,14 +236,18 @@
     else this.report(r, answer);
   }
 
+  /** A machine has seen a higher token than this owner's: somebody else has taken over, and this term is given up. */
+  private outdated(token: Token): boolean {
+    if (this.share === null || token <= this.share.machines.token) return false;
+    this.leadership.superseded();
+    return true;
+  }
+
   private report(r: Report, answer: (a: WorkerAnswer) => void): void {
-    const { share, leadership: l } = this;
-    if (share !== null && r.token > share.machines.token) {
-      l.superseded();
-      return answer({ kind: 'elsewhere', node: null });
-    }
+    if (this.outdated(r.token)) return answer({ kind: 'elsewhere', node: null });
+    const { share } = this;
     if (share !== null && this.mayCommand()) return share.report(r, answer);
-    const owner = l.owner?.node === this.settings.node ? null : l.owner;
+    const owner = this.otherOwner;
     const linked = owner !== null && this.peersUp.has(owner.node);
     // The next owner is chosen within seconds: a worker sent round meanwhile would only come back.
     if (this.peersUp.size > 0 && (owner === null || (!linked && this.fronts.lostLately(owner.node))))
@@ -328,9 +344,8 @@
   }
 
   private forward(request: UserRequest, answer: (a: UserAnswer) => void): void {
-    const owner = this.leadership.owner;
-    if (owner === null || owner.node === this.settings.node || !this.peersUp.has(owner.node))
-      return this.withoutOwner(request, answer);
+    const owner = this.otherOwner;
+    if (owner === null || !this.peersUp.has(owner.node)) return this.withoutOwner(request, answer);
     const id = this.nextAsk++;
     this.forwarded.set(id, {
       request,
@@ -414,12 +429,10 @@
   }
 
   private fronted(node: NodeId, id: number, report: FrontReport): void {
-    const { share, leadership: l } = this;
     const reply = (answer: FrontAnswer) =>
       this.io.emit({ kind: 'peer', node, message: { kind: 'fronted', id, answer } });
     const token = report.whole === null ? report.token : report.whole.token;
-    if (share !== null && token > share.machines.token) l.superseded();
-    if (this.share === null || !this.mayCommand()) reply(null);
+    if (this.outdated(token) || this.share === null || !this.mayCommand()) reply(null);
     else this.share.front(report, reply);
   }
 
--- a/src/core/dispatch.ts
+++ b/src/core/dispatch.ts
@@ -292,10 +292,16 @@
 const needsPlaceCheck = (job: Job): boolean => job.spec.tasks > 1 && (job.spec.oneZone || job.spec.spread);
 
 /** Jobs of the same kind differ for a choice of place only in how much their tasks take. */
-const kindOf = (s: JobSpec): string => `${s.class}|${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
+const kindOf = (s: JobSpec): string => `${s.class}|${placesOf(s)}`;
 
-const asksAsMuch = ({ spec: s, priority }: Job, { spec: than, priority: its }: Job): boolean =>
-  s.cpus >= than.cpus && s.gpus >= than.gpus && s.memoryGb >= than.memoryGb && priority <= its;
+/** Jobs for which this is the same may run on the same machines, as far as these are large enough. */
+export const placesOf = (s: JobSpec): string => `${s.types?.join() ?? ''}|${s.zone ?? ''}|${s.spot}`;
+
+export const takesAsMuch = (s: JobSpec, than: JobSpec): boolean =>
+  s.cpus >= than.cpus && s.gpus >= than.gpus && s.memoryGb >= than.memoryGb;
+
+const asksAsMuch = (job: Job, than: Job): boolean =>
+  takesAsMuch(job.spec, than.spec) && job.priority <= than.priority;
 
 export function zoneAllowed(job: Job, zone: ZoneName, used: ReadonlyMap<ZoneName, number>): boolean {
   if (job.spec.oneZone) for (const z of used.keys()) if (z !== zone) return false;
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,8 +9,9 @@
   type TypeName,
   type ZoneName,
 } from '../types/index.ts';
-import { isGang } from './dispatch.ts';
-import { Budget, type Outbox } from './io.ts';
+import { Budget } from './budget.ts';
+import { isGang, placesOf, takesAsMuch } from './dispatch.ts';
+import type { Outbox } from './io.ts';
 import type { Job, Jobs } from './jobs.ts';
 import type { Machine, Machines } from './machines.ts';
 import type { CloudReply, JobSpec, ListedMachine, MachineType, Settings } from './model.ts';
@@ -602,10 +603,7 @@
   private none: { where: string; spec: JobSpec }[] = [];
 
   private hopeless(job: Job, where: string): boolean {
-    const { cpus, gpus, memoryGb } = job.spec;
-    return this.none.some(
-      (n) => n.where === where && n.spec.cpus <= cpus && n.spec.gpus <= gpus && n.spec.memoryGb <= memoryGb,
-    );
+    return this.none.some((n) => n.where === where && takesAsMuch(job.spec, n.spec));
   }
 
   add(f: Free): void {
@@ -667,8 +665,7 @@
   }
 }
 
-const whereOf = ({ spec: s }: Job, zone: ZoneName | null): string =>
-  `${zone ?? ''}|${s.zone ?? ''}|${s.spot}|${s.types?.join() ?? ''}`;
+const whereOf = (job: Job, zone: ZoneName | null): string => `${zone ?? ''}|${placesOf(job.spec)}`;
 
 export const canEverRun = (types: Iterable<MachineType>, job: Job): boolean => {
   for (const t of types) if (typeFits(t, job)) return true;
--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -5,6 +5,7 @@
 import type { Outbox } from './io.ts';
 import { type Change, compare } from './listing.ts';
 import type { FrontAnswer, FrontReport, Report, WorkerAnswer } from './model.ts';
+import { Parking } from './parking.ts';
 
 type Answer = (a: WorkerAnswer) => void;
 
@@ -22,11 +23,6 @@
   report: Report;
   at: Instant;
 }
-interface Parked {
-  report: Report;
-  answer: Answer;
-  until: Instant;
-}
 
 /** Workers drop answers after 4 s; one that is late within the service must not reach them later than that. */
 const PATIENCE_MS = 3500;
@@ -48,21 +44,21 @@
 export class Fronts {
   private readonly open = new Map<number, Open>();
   private readonly read = new Map<MachineId, Read>();
-  private parked: Parked[] = [];
+  private readonly parked: Parking;
   private nextId = 1;
   private strikes = 0;
-  private restUntil: Instant | null = null;
+  private restUntil: Instant = LONG_AGO;
   private nextTidy = 0 as Instant;
   private readonly lostAt = new Map<NodeId, Instant>();
   private readonly heardAt = new Map<NodeId, Instant>();
 
-  constructor(private readonly io: Outbox) {}
+  constructor(private readonly io: Outbox) {
+    this.parked = new Parking(io, PARK_MS);
+  }
 
   /** Whether reports may be passed on now; if not, workers are sent to the owner themselves. */
   get usable(): boolean {
-    if (this.restUntil !== null && this.io.now < this.restUntil) return false;
-    this.restUntil = null;
-    return true;
+    return this.io.now >= this.restUntil;
   }
 
   report(r: Report, owner: NodeId, answer: Answer): void {
@@ -104,12 +100,12 @@
 
   /** A report for which there is no owner yet: one is chosen within seconds, and answers it. */
   park(report: Report, answer: Answer): void {
-    this.parked.push({ report, answer, until: later(this.io.now, PARK_MS) });
+    this.parked.add(report, answer);
   }
 
   /** An owner can be reached, or this node has become it: what waited is handled as if it came now. */
   unpark(handle: (r: Report, answer: Answer) => void): void {
-    for (const p of this.parked.splice(0)) handle(p.report, p.answer);
+    for (const p of this.parked.take()) handle(p.report, p.answer);
   }
 
   /** The node has said something. */
@@ -142,12 +138,8 @@
       this.open.delete(id);
       this.strike(o);
     }
-    if (this.parked.length > 0) {
-      const over = this.parked.filter((p) => now >= p.until);
-      if (over.length > 0) this.parked = this.parked.filter((p) => now < p.until);
-      const node = owner !== null && this.lostLately(owner) ? null : owner;
-      for (const p of over) p.answer({ kind: 'elsewhere', node });
-    }
+    const node = owner !== null && this.lostLately(owner) ? null : owner;
+    for (const p of this.parked.overdue()) p.answer({ kind: 'elsewhere', node });
     if (now < this.nextTidy) return;
     this.nextTidy = later(now, TIDY_MS);
     for (const [m, r] of this.read) if (since(now, r.at) > FORGET_MS) this.read.delete(m);
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -3,8 +3,9 @@
 // watching the records (newcomers.ts), a later owner by reading them.
 import type { Revision } from '../types/index.ts';
 import { impossible } from './admission.ts';
+import { Budget } from './budget.ts';
 import type { Catalogue } from './catalogue.ts';
-import { Budget, type Outbox } from './io.ts';
+import type { Outbox } from './io.ts';
 import { FINAL, retry } from './jobs.ts';
 import type { Lookup } from './lookup.ts';
 import type { JobSpec, Put, Settings, StateReply, UserAnswer } from './model.ts';
@@ -64,9 +65,9 @@
     const conditions = [OPEN, FINAL].map((p) => ({ key: p + spec.id, revision: 0 as Revision }));
     this.io.state(
       { kind: 'commit', conditions, puts: this.record(spec)!, drops: [] },
+      Rank.ask,
       (r) => this.onReply(spec, r, answer),
       WRITE_MS,
-      Rank.ask,
     );
   }
 
--- a/src/core/io.ts
+++ b/src/core/io.ts
@@ -13,7 +13,7 @@
   WorkerReply,
 } from './model.ts';
 import { Reach } from './reach.ts';
-import { Rank, type StateBudget } from './statebudget.ts';
+import type { Rank, StateBudget } from './statebudget.ts';
 
 export type Input =
   | { kind: 'user'; req: number; request: UserRequest }
@@ -44,33 +44,6 @@
   below(n: number): number;
 }
 
-/** A budget that refills evenly; bursts up to one second's worth. */
-export class Budget {
-  private level: number;
-  private at: Instant | null = null;
-  private perS: number;
-  private readonly burst: number;
-  constructor(perS: number, burst: number) {
-    this.perS = perS;
-    this.burst = burst;
-    this.level = burst;
-  }
-
-  /** The rate from now on. */
-  set rate(perS: number) {
-    this.perS = perS;
-  }
-
-  take(now: Instant, n = 1): boolean {
-    if (this.at !== null)
-      this.level = Math.min(this.burst, this.level + ((now - this.at) / 1000) * this.perS);
-    this.at = now;
-    if (this.level < n) return false;
-    this.level -= n;
-    return true;
-  }
-}
-
 /** The core's side of every exchange: keeps the callback of each open request and collects effects. */
 export class Outbox {
   now = 0 as Instant;
@@ -132,7 +105,7 @@
     return tag;
   }
 
-  state(op: StateOp, then: (reply: StateReply) => void, timeoutMs = 1500, rank: Rank = Rank.work): void {
+  state(op: StateOp, rank: Rank, then: (reply: StateReply) => void, timeoutMs = 1500): void {
     const { stateBudget: budget } = this;
     const heed = (r: StateReply): void => {
       if (r.kind === 'refused' && r.busy) budget?.busy(this.now);
--- a/src/core/jobs.ts
+++ b/src/core/jobs.ts
@@ -391,19 +391,14 @@
   }
 
   readFinal(id: JobId, answer: (a: UserAnswer) => void): void {
-    this.io.state(
-      { kind: 'get', key: FINAL + id },
-      (r) => {
-        if (r.kind === 'item') {
-          const { s: status, t } = r.item.value as FinalRecord;
-          this.rememberFinal(id, status, t);
-          answer({ kind: 'ended', id, status });
-        } else if (r.kind === 'missing') answer({ kind: 'not-found' });
-        else answer(retry('the state service does not answer'));
-      },
-      1500,
-      Rank.ask,
-    );
+    this.io.state({ kind: 'get', key: FINAL + id }, Rank.ask, (r) => {
+      if (r.kind === 'item') {
+        const { s: status, t } = r.item.value as FinalRecord;
+        this.rememberFinal(id, status, t);
+        answer({ kind: 'ended', id, status });
+      } else if (r.kind === 'missing') answer({ kind: 'not-found' });
+      else answer(retry('the state service does not answer'));
+    });
   }
 
   cancel(job: Job, answer: (a: UserAnswer) => void): void {
--- a/src/core/leadership.ts
+++ b/src/core/leadership.ts
@@ -90,13 +90,13 @@
     if (this.io.now < this.nextTry) return;
     this.watching = true;
     if (this.watchFrom === null)
-      this.io.state({ kind: 'list', prefix: 'share/', after: null }, (r) => this.onList(r), 1500, Rank.hold);
+      this.io.state({ kind: 'list', prefix: 'share/', after: null }, Rank.hold, (r) => this.onList(r));
     else
       this.io.state(
         { kind: 'watch', prefix: 'share/', after: this.watchFrom, waitMs: WATCH_MS },
+        Rank.hold,
         (r) => this.onChanges(r),
         WATCH_MS + 3000,
-        Rank.hold,
       );
   }
 
@@ -153,15 +153,10 @@
     if (io.now - this.unownedSince < this.rank * 200) return;
     this.busy = true;
     const sentAt = io.now;
-    io.state(
-      { kind: 'grant', ttlMs: HOLD_MS },
-      (r) => {
-        if (r.kind !== 'granted') return this.backOff();
-        this.take(r.hold, sentAt);
-      },
-      1500,
-      Rank.hold,
-    );
+    io.state({ kind: 'grant', ttlMs: HOLD_MS }, Rank.hold, (r) => {
+      if (r.kind !== 'granted') return this.backOff();
+      this.take(r.hold, sentAt);
+    });
   }
 
   private backOff(): void {
@@ -173,22 +168,17 @@
     const { io } = this;
     const conditions = [{ key: OWNER_KEY, revision: 0 as Revision }];
     const puts = [{ key: OWNER_KEY, value: { node: this.me }, hold }];
-    io.state(
-      { kind: 'commit', conditions, puts, drops: [] },
-      (r) => {
-        if (r.kind === 'committed') {
-          this.own(r.revision, hold, sentAt);
-          return;
-        }
-        // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
-        if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, () => {}, 1500, Rank.hold);
-        this.unownedSince = null;
-        this.watchFrom = null;
-        this.backOff();
-      },
-      1500,
-      Rank.hold,
-    );
+    io.state({ kind: 'commit', conditions, puts, drops: [] }, Rank.hold, (r) => {
+      if (r.kind === 'committed') {
+        this.own(r.revision, hold, sentAt);
+        return;
+      }
+      // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
+      if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, Rank.hold, () => {});
+      this.unownedSince = null;
+      this.watchFrom = null;
+      this.backOff();
+    });
   }
 
   private own(term: Revision, hold: HoldId, sentAt: Instant): void {
@@ -216,6 +206,7 @@
     const term = this.term;
     io.state(
       { kind: 'extend', hold: this.hold },
+      Rank.hold,
       (r) => {
         this.extending = false;
         if (this.term !== term) return;
@@ -226,7 +217,6 @@
         else this.nextExtend = later(io.now, RETRY_MS);
       },
       1000,
-      Rank.hold,
     );
   }
 
--- a/src/core/listing.ts
+++ b/src/core/listing.ts
@@ -14,6 +14,7 @@
 }
 
 export function compare(before: readonly TaskReport[], now: readonly TaskReport[]): Compared {
+  if (now === before) return { tasks: before, dropped: [], changed: [] };
   const tasks: TaskReport[] = [];
   const changed: Change['changed'] = [];
   const kept = new Set<number>();
--- a/src/core/lookup.ts
+++ b/src/core/lookup.ts
@@ -1,6 +1,7 @@
 // Jobs this node does not hold: read from the state service, many names in one compare-only transaction.
 import type { JobId, Revision } from '../types/index.ts';
-import { Budget, type Outbox } from './io.ts';
+import { Budget } from './budget.ts';
+import type { Outbox } from './io.ts';
 import { FINAL, type FinalRecord, retry } from './jobs.ts';
 import type { Condition, Settings, StateReply, UserAnswer } from './model.ts';
 import { moreKeys, OPEN, partOf, type StoredJob } from './record.ts';
@@ -62,9 +63,9 @@
     const conditions = batch.flatMap((w) => neither(w.id));
     this.io.state(
       { kind: 'commit', conditions, puts: [], drops: [] },
+      Rank.ask,
       (r) => this.onCompared(batch, r),
       1200,
-      Rank.ask,
     );
   }
 
@@ -82,7 +83,7 @@
   }
 
   private get(key: string, then: (r: StateReply) => void): void {
-    this.io.state({ kind: 'get', key }, then, 1500, Rank.ask);
+    this.io.state({ kind: 'get', key }, Rank.ask, then);
   }
 
   private readFinal(w: Waiting): void {
@@ -184,7 +185,7 @@
       if (batch.length === 0) return then(found);
       if (!this.budget.take(this.io.now)) return then(null);
       const op = { kind: 'commit' as const, conditions: batch.flatMap(neither), puts: [], drops: [] };
-      const read = (r: StateReply): void => {
+      this.io.state(op, Rank.ask, (r) => {
         if (r.kind !== 'committed' && r.kind !== 'conflict') return then(null);
         const there = new Set(r.kind === 'conflict' ? r.failed : []);
         for (const id of batch) {
@@ -192,8 +193,7 @@
           else if (there.has(OPEN + id)) found.set(id, 'open');
         }
         compare(from + batch.length);
-      };
-      this.io.state(op, read, 1500, Rank.ask);
+      });
     };
     compare(0);
   }
--- a/src/core/machines.ts
+++ b/src/core/machines.ts
@@ -228,8 +228,8 @@
     m.up = true;
     m.lastReport = this.io.now;
     this.setNotice(m, r.noticeS);
-    if (m.plain && tasks === m.listed) m.idleSince = m.empty ? m.idleSince : this.io.now;
-    else this.readTasks(m, tasks, r.seq);
+    if (!m.plain || tasks !== m.listed) this.readTasks(m, tasks, r.seq);
+    if (!m.empty) m.idleSince = this.io.now;
     m.listed = tasks;
     if (r.token === this.token && !m.synced) {
       m.synced = true;
@@ -358,7 +358,6 @@
       x.gone = true;
       m.exited.delete(key);
     }
-    if (!m.empty) m.idleSince = this.io.now;
     // A task sent since is missing from the list: its absence from the next one tells something.
     m.plain = m.exited.size === 0 && m.strays.length === 0 && m.entries.size === tasks.length;
   }
--- a/src/core/needs.ts
+++ b/src/core/needs.ts
@@ -2,10 +2,12 @@
 // job that it needs says done, and is cancelled as soon as one of them is cancelled on record, directly or through
 // others. Nothing of this is stored; an owner derives it anew from the jobs' records (docs/safety.md).
 import { type Instant, type JobId, LONG_AGO, later, type WallTime } from '../types/index.ts';
-import { Budget, type Outbox } from './io.ts';
+import { Budget } from './budget.ts';
+import type { Outbox } from './io.ts';
 import { FINAL, type FinalRecord, type Job, type Jobs } from './jobs.ts';
 import type { Settings, StateReply } from './model.ts';
 import type { Estimates } from './order.ts';
+import { Rank } from './statebudget.ts';
 
 /** Part of the region's state requests for reading final states that the owner does not remember. */
 const READ_SHARE = 0.25;
@@ -219,7 +221,7 @@
 
   private fetch(id: JobId): void {
     this.reading++;
-    this.io.state({ kind: 'get', key: FINAL + id }, (r) => {
+    this.io.state({ kind: 'get', key: FINAL + id }, Rank.work, (r) => {
       this.reading--;
       this.onRead(id, r);
       this.pump();
--- a/src/core/newcomers.ts
+++ b/src/core/newcomers.ts
@@ -4,6 +4,7 @@
 import type { Jobs } from './jobs.ts';
 import type { StateReply } from './model.ts';
 import { OPEN } from './record.ts';
+import { Rank } from './statebudget.ts';
 
 const WATCH_MS = 10_000;
 const RETRY_MS = 500;
@@ -30,10 +31,11 @@
     if (this.busy || this.io.now < this.retryAt || !this.current()) return;
     this.busy = true;
     if (this.from === null)
-      this.io.state({ kind: 'list', prefix: OPEN, after: this.after }, (r) => this.onList(r));
+      this.io.state({ kind: 'list', prefix: OPEN, after: this.after }, Rank.work, (r) => this.onList(r));
     else
       this.io.state(
         { kind: 'watch', prefix: OPEN, after: this.from, waitMs: WATCH_MS },
+        Rank.work,
         (r) => this.onChanges(r),
         WATCH_MS + 3000,
       );
--- a/src/core/reach.ts
+++ b/src/core/reach.ts
@@ -1,9 +1,8 @@
 // Tells operators when the state service or the cloud cannot be reached: at once, then at growing intervals, and when
 // it is back for good. Without this a controller that can do nothing for its users says nothing at all.
 import { type Instant, LONG_AGO, later, since } from '../types/index.ts';
-import type { Fields, LogLevel } from './io.ts';
 
-type Log = (level: LogLevel, message: string, fields: Fields) => void;
+type Log = (level: 'error' | 'info', message: string, fields: Record<string, unknown>) => void;
 
 const FIRST_MS = 5000;
 const MAX_MS = 300_000;
--- a/src/core/recovery.ts
+++ b/src/core/recovery.ts
@@ -86,7 +86,7 @@
     if (this.busy || this.unreadable || this.io.now < this.retryAt) return;
     this.busy = true;
     const prefix = { types: TYPE, jobs: OPEN, more: MORE, bits: BITS, machines: MACHINE }[this.step];
-    this.io.state({ kind: 'list', prefix, after: this.after }, (r) => this.onPage(r), 1500, Rank.owner);
+    this.io.state({ kind: 'list', prefix, after: this.after }, Rank.owner, (r) => this.onPage(r));
   }
 
   private again(): void {
--- a/src/core/share.ts
+++ b/src/core/share.ts
@@ -26,6 +26,7 @@
 import { Newcomers } from './newcomers.ts';
 import { Estimates, Ordering } from './order.ts';
 import { spread } from './overload.ts';
+import { Parking } from './parking.ts';
 import { Progress } from './progress.ts';
 import { Quota } from './quota.ts';
 import { Recovery } from './recovery.ts';
@@ -52,12 +53,6 @@
 const EARLY_A_TICK = 30;
 const EARLY_A_STEP = 2;
 
-interface Early {
-  report: Report;
-  answer: (a: WorkerAnswer) => void;
-  until: Instant;
-}
-
 interface Held {
   m: Machine;
   commands: Command[];
@@ -84,7 +79,7 @@
   private nextFit: Instant = LONG_AGO;
   private readonly held = new Map<MachineId, Held>();
   private readonly holdMs: number;
-  private readonly early: Early[] = [];
+  private readonly early: Parking;
   private readonly estimates = new Estimates();
   private readonly io: Outbox;
   private readonly catalogue: Catalogue;
@@ -103,6 +98,7 @@
     onLost: () => void,
   ) {
     this.current = current;
+    this.early = new Parking(io, EARLY_MS);
     this.io = io;
     this.settings = settings;
     this.catalogue = catalogue;
@@ -179,7 +175,7 @@
     this.needs.tick();
     // Any answer under the token renews a lease: past the bound these must not be answered either.
     if (!mayCommand) this.closeEarly();
-    else if (this.early.length > 0) this.readEarly(EARLY_A_TICK);
+    else this.readEarly(EARLY_A_TICK);
     if (!this.recovery.loaded) return;
     this.catalogue.record(this.store);
     this.newcomers ??= new Newcomers(this.io, this.jobs, this.recovery.jobsReadAt, this.current);
@@ -204,7 +200,7 @@
   /** After any input: work that has come may start at once on a machine whose report is held. */
   settle(): void {
     if (!this.recovery.loaded) return;
-    if (this.early.length > 0) this.readEarly(EARLY_A_STEP);
+    this.readEarly(EARLY_A_STEP);
     if (this.dispatch.pass())
       for (const h of this.held.values()) {
         h.fresh = false;
@@ -235,7 +231,7 @@
     if (!this.recovery.loaded) {
       // Raising the token is all that may be done before the records are read. A report made after that waits for
       // them: answered unread, its machine would be heard a whole report period later.
-      if (r.token === token) this.early.push({ report: r, answer, until: later(this.io.now, EARLY_MS) });
+      if (r.token === token) this.early.add(r, answer);
       else answer({ kind: 'orders', token, commands: [] });
       return;
     }
@@ -281,11 +277,9 @@
 
   /** Reports that came before the records were read: in portions, as a whole fleet may have sent one. */
   private readEarly(most: number): void {
-    const { now } = this.io;
-    if (this.recovery.loaded) for (const e of this.early.splice(0, most)) this.report(e.report, e.answer);
+    if (this.recovery.loaded) for (const e of this.early.take(most)) this.report(e.report, e.answer);
     const { token } = this.machines;
-    while (this.early.length > 0 && now >= this.early[0]!.until)
-      this.early.shift()!.answer({ kind: 'orders', token, commands: [] });
+    for (const e of this.early.overdue()) e.answer({ kind: 'orders', token, commands: [] });
   }
 
   /** Answers a held report that has something to tell, or whose time is up. */
@@ -332,7 +326,7 @@
   }
 
   private closeEarly(): void {
-    for (const e of this.early.splice(0)) e.answer({ kind: 'elsewhere', node: null });
+    for (const e of this.early.take()) e.answer({ kind: 'elsewhere', node: null });
   }
 
   /** A machine nobody expected: rented by an unanswered request, or by an earlier owner. */
--- a/src/core/statebudget.ts
+++ b/src/core/statebudget.ts
@@ -2,6 +2,7 @@
 // refuses what is beyond its limit, whatever it is for: the renewal of a hold must never be among that, and must
 // never wait behind a user's question.
 import { type Instant, LONG_AGO, later } from '../types/index.ts';
+import { Budget } from './budget.ts';
 
 /** In which order requests are sent while the budget is short. */
 export const Rank = {
@@ -17,7 +18,6 @@
 export type Rank = (typeof Rank)[keyof typeof Rank];
 
 interface Waiting {
-  rank: Rank;
   send: () => void;
   giveUp: () => void;
   since: Instant;
@@ -37,7 +37,7 @@
 const SLOW_EVERY_MS = 500;
 
 export class StateBudget {
-  private level: number;
+  private readonly bucket: Budget;
   private at: Instant | null = null;
   private share: number;
   /** Below 1 after refusals. */
@@ -53,7 +53,7 @@
     private readonly nodes: number,
   ) {
     this.share = this.shareOf(false);
-    this.level = this.rate;
+    this.bucket = new Budget(this.rate, this.rate);
   }
 
   /** The owner needs most; what is left is divided among the others, so that the sum stays below the limit. */
@@ -72,12 +72,15 @@
 
   /** Sends the request now, or when the budget allows; `giveUp` if that is too late to be of use. */
   submit(now: Instant, rank: Rank, send: () => void, giveUp: () => void): void {
-    this.refill(now);
-    if (rank === Rank.hold) return this.spend(send);
+    this.recover(now);
+    if (rank === Rank.hold) {
+      this.bucket.owe(now);
+      return this.sendNow(send);
+    }
     const queue = this.queues[rank]!;
-    if (this.level >= 1 && this.clearUpTo(rank)) return this.spend(send);
+    if (this.clearUpTo(rank) && this.bucket.take(now)) return this.sendNow(send);
     if (rank === Rank.ask && queue.length >= MAX_ASKS) return giveUp();
-    queue.push({ rank, send, giveUp, since: now });
+    queue.push({ send, giveUp, since: now });
   }
 
   private clearUpTo(rank: Rank): boolean {
@@ -85,38 +88,30 @@
     return true;
   }
 
-  private spend(send: () => void): void {
-    this.level -= 1;
+  private sendNow(send: () => void): void {
     this.sent++;
     send();
   }
 
-  private refill(now: Instant): void {
-    if (this.at !== null) {
-      const s = Math.max(0, now - this.at) / 1000;
-      this.pace = Math.min(1, this.pace + s * RECOVER_PER_S);
-      this.level = Math.min(this.rate, this.level + s * this.rate);
-    }
+  private recover(now: Instant): void {
+    if (this.at !== null) this.pace = Math.min(1, this.pace + ((now - this.at) / 1000) * RECOVER_PER_S);
     this.at = now;
+    this.bucket.resize(this.rate, this.rate);
   }
 
-  /** Sends what has become due, and gives up on questions that came too early. */
+  /** Gives up on questions that came too early, and sends what has become due. */
   tick(now: Instant): void {
-    this.refill(now);
-    for (const queue of this.queues)
-      while (queue.length > 0 && this.level >= 1) {
-        const w = queue.shift()!;
-        if (w.rank === Rank.ask && now - w.since > ASK_MS) w.giveUp();
-        else this.spend(w.send);
-      }
+    this.recover(now);
     const asks = this.queues[Rank.ask]!;
     while (asks.length > 0 && now - asks[0]!.since > ASK_MS) asks.shift()!.giveUp();
+    for (const queue of this.queues)
+      while (queue.length > 0 && this.bucket.take(now)) this.sendNow(queue.shift()!.send);
   }
 
   /** The service refused a request as one too many: all slow down, whoever used it up. */
   busy(now: Instant): void {
     this.refused++;
-    this.level = Math.min(this.level, 0);
+    this.bucket.drain();
     if (now < later(this.slowedAt, SLOW_EVERY_MS)) return;
     this.slowedAt = now;
     this.pace = Math.max(SLOWEST, this.pace * SLOWER);
--- a/src/core/store.ts
+++ b/src/core/store.ts
@@ -1,6 +1,7 @@
 // The owner's writes: batched into one transaction at a time, each conditional on the term.
 import { type Instant, LONG_AGO, later, type Revision } from '../types/index.ts';
-import { Budget, type Outbox } from './io.ts';
+import { Budget } from './budget.ts';
+import type { Outbox } from './io.ts';
 import { OWNER_KEY } from './leadership.ts';
 import type { Condition, Item, Put, Settings, StateReply } from './model.ts';
 import { Rank } from './statebudget.ts';
@@ -133,9 +134,9 @@
     const drops = batch.flatMap((w) => w.drops);
     this.io.state(
       { kind: 'commit', conditions, puts, drops },
+      Rank.owner,
       (r) => this.onReply(batch, r),
       2000,
-      Rank.owner,
     );
   }
 
@@ -188,23 +189,18 @@
 
   /** A write whose condition failed: either its own first copy went through, or something else is there. */
   private settle(w: Write): void {
-    this.io.state(
-      { kind: 'get', key: w.check },
-      (r) => {
-        if (r.kind === 'item') {
-          const mine = w.nonce !== null && (r.item.value as { w?: string } | null)?.w === w.nonce;
-          w.done(mine ? { kind: 'ok', revision: r.item.revision } : { kind: 'conflict', item: r.item });
-        } else if (r.kind === 'missing') {
-          if (w.nonce === null) w.done({ kind: 'ok', revision: 0 as Revision });
-          else w.done({ kind: 'conflict', item: null });
-        } else {
-          this.notBefore = later(this.io.now, RETRY_MS);
-          this.queue.unshift(w);
-        }
-      },
-      1500,
-      Rank.owner,
-    );
+    this.io.state({ kind: 'get', key: w.check }, Rank.owner, (r) => {
+      if (r.kind === 'item') {
+        const mine = w.nonce !== null && (r.item.value as { w?: string } | null)?.w === w.nonce;
+        w.done(mine ? { kind: 'ok', revision: r.item.revision } : { kind: 'conflict', item: r.item });
+      } else if (r.kind === 'missing') {
+        if (w.nonce === null) w.done({ kind: 'ok', revision: 0 as Revision });
+        else w.done({ kind: 'conflict', item: null });
+      } else {
+        this.notBefore = later(this.io.now, RETRY_MS);
+        this.queue.unshift(w);
+      }
+    });
   }
 }
 
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -242,7 +242,8 @@
   return null;
 }
 
-function decodePeer(body: Uint8Array): PeerMessage | null {
+/** null: of a kind that this version does not know. */
+export function decodeFrame(body: Uint8Array): PeerMessage | null {
   const e = Envelope.decode(body);
   if (e.hello)
     return {
@@ -276,9 +277,6 @@
 /** Whether a frame holds a worker's report, of which there may be thousands at once; told without decoding it. */
 export const isFront = (frame: Uint8Array): boolean => frame[0] === FRONT_TAG;
 
-/** null: of a kind that this version does not know. */
-export const decodeFrame = (frame: Uint8Array): PeerMessage | null => decodePeer(frame);
-
 /** Collects bytes into frames; throws on a frame no peer of ours would send. */
 export class PeerDecoder {
   private pending: Buffer = Buffer.alloc(0);
