Memory follows limits.ram_mb; short of it, submissions are sent back

Need: the heap was fixed at 72 MB for every deployment, about what 5,000 machines need, whatever the platform gives a node. V8 takes its limit at the start only.

From 92% of ram_mb on the node and, told by Load, the others send submissions back with 429; what is on record, reports, questions and cancellations go on. The other nodes' own refusal of submissions ('too many at once') spreads its Retry-After too.

Ruled out: a worker thread with resourceLimits (a second isolate, a longer start); a default heap (first collection only at 100 MB and more). Two stories, each seen to fail with its guard broken.

--- a/scripts/drill/load.ts
+++ b/scripts/drill/load.ts
@@ -131,6 +131,7 @@
     writeRpsNow: 600,
     cloud: { rps: 50, listLagS: 1 },
     sockets: 10_000,
+    ramMb: null,
   }) as unknown as Settings;
 
 const none = (): Record<Kind, number> => ({
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -144,6 +144,7 @@
       loadLevel: this.overload.level,
       loopDelayMs: Math.round(this.overload.delayMs),
       requestsShed: this.overload.shed,
+      memoryShort: this.overload.short,
       stateRequests: { sent: this.io.stateBudget?.sent, refused: this.io.stateBudget?.refused },
       olderPeers: this.olderPeers(),
       finalStatesToRead: share?.needs.open ?? 0,
@@ -155,7 +156,7 @@
   private take(input: Input): void {
     switch (input.kind) {
       case 'tick':
-        return this.tick(input.queuedMs ?? 0);
+        return this.tick(input.queuedMs ?? 0, input.memory ?? 0);
       case 'user':
         return this.user(input.request, (answer) =>
           this.io.emit({ kind: 'answer-user', req: input.req, answer }),
@@ -181,9 +182,9 @@
     }
   }
 
-  private tick(queuedMs: number): void {
+  private tick(queuedMs: number, memory: number): void {
     const backlogS = this.share?.backlogS ?? 0;
-    const news = this.overload.tick(queuedMs, backlogS);
+    const news = this.overload.tick(queuedMs, backlogS, memory);
     if (news !== null)
       for (const node of this.knowsFronts)
         this.io.emit({
--- a/src/core/intake.ts
+++ b/src/core/intake.ts
@@ -10,6 +10,7 @@
 import type { Lookup } from './lookup.ts';
 import type { JobSpec, Put, Settings, StateReply, UserAnswer } from './model.ts';
 import { checkNeeds } from './needcheck.ts';
+import { spread } from './overload.ts';
 import { OPEN, recordPuts, type StoredJob } from './record.ts';
 import { Rank } from './statebudget.ts';
 
@@ -42,7 +43,8 @@
       this.record(spec) === null
     )
       return answer(retry('no controller can take this at the moment'));
-    if (!this.budget.take(this.io.now)) return answer(retry('too many submissions at once', 2, true));
+    if (!this.budget.take(this.io.now))
+      return answer(retry('too many submissions at once', spread(this.io, 2), true));
     if (spec.awaits === undefined) this.write(spec, answer);
     else
       checkNeeds(
--- a/src/core/io.ts
+++ b/src/core/io.ts
@@ -25,7 +25,8 @@
   | { kind: 'peer-up'; node: NodeId }
   | { kind: 'peer-down'; node: NodeId }
   /** `queuedMs`: how long the oldest request that must not wait has been waiting to be read. */
-  | { kind: 'tick'; queuedMs?: number };
+  /** How long the oldest report has been waiting to be read; the part of the node's memory that is in use. */
+  | { kind: 'tick'; queuedMs?: number; memory?: number };
 
 export type LogLevel = 'error' | 'info' | 'debug';
 export type Fields = Record<string, unknown>;
--- a/src/core/model.ts
+++ b/src/core/model.ts
@@ -99,6 +99,8 @@
   writeRpsNow: number;
   cloud: { rps: number; listLagS: number };
   sockets: number;
+  /** What a node may hold in memory; null if the platform does not say. */
+  ramMb: number | null;
 }
 
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
@@ -229,7 +231,7 @@
    * Which requests the sender wants to be spared, and when callers should come again (overload.ts); how many workers
    * speak to it, weighed (balance.ts). Every second.
    */
-  | { kind: 'load'; level: 0 | 1 | 2; afterS: number; workers: number; backlogS: number }
+  | { kind: 'load'; level: 0 | 1 | 2; afterS: number; workers: number; backlogS: number; short: boolean }
   | { kind: 'front'; id: number; report: FrontReport }
   | { kind: 'fronted'; id: number; answer: FrontAnswer };
 
--- a/src/core/overload.ts
+++ b/src/core/overload.ts
@@ -17,6 +17,8 @@
   afterS: number;
   /** Seconds that it takes to write what waits to be written. */
   backlogS: number;
+  /** Its memory is short. */
+  short: boolean;
 }
 
 const TICK_MS = 100;
@@ -35,11 +37,21 @@
 const PACE_PER_MS = 1 / 100;
 const PACE_MAX = 5;
 const AFTER_MAX_S = 15;
+/** Parts of the node's memory from which it is short, and below which it no longer is (runtime/heap.ts). */
+const SHORT = 0.92;
+const ENOUGH = 0.86;
+/** Memory is given back by jobs that end, which takes longer than a queue. */
+const SHORT_AFTER_S = 5;
 
 export class Overload {
   /** How late the timer fires or reports are read, smoothed, in milliseconds. */
   delayMs = 0;
   level: Level = 0;
+  /**
+   * Little memory is left. Every accepted job is kept until its end, so no more are taken; nothing that is on record is
+   * ever dropped for it, and questions, reports and cancellations, which leave nothing behind, are served.
+   */
+  short = false;
   private lastTick: Instant | null = null;
   private nextTell = 0 as Instant;
   private readonly told = new Map<NodeId, Told & { until: Instant }>();
@@ -49,16 +61,26 @@
   constructor(private readonly io: Outbox) {}
 
   /** Called with every tick; returns what the other nodes should be told, if anything. */
-  tick(queuedMs: number, backlogS: number): { level: Level; afterS: number } | null {
+  tick(
+    queuedMs: number,
+    backlogS: number,
+    memory = 0,
+  ): { level: Level; afterS: number; short: boolean } | null {
     const { now } = this.io;
     const before = this.level;
+    const shortBefore = this.short;
     this.measure(now, queuedMs);
     this.io.pace = Math.min(PACE_MAX, 1 + this.delayMs * PACE_PER_MS);
     if (this.level !== before)
       this.io.log('info', 'load has changed', { level: this.level, delayMs: Math.round(this.delayMs) });
-    if (this.level === before && now < this.nextTell) return null;
+    this.short = memory >= (this.short ? ENOUGH : SHORT);
+    if (this.short !== shortBefore)
+      this.io.log(this.short ? 'error' : 'info', this.short ? 'memory is short' : 'memory is enough again', {
+        used: Math.round(memory * 100) / 100,
+      });
+    if (this.level === before && this.short === shortBefore && now < this.nextTell) return null;
     this.nextTell = later(now, TELL_MS);
-    return { level: this.level, afterS: this.afterS(backlogS) };
+    return { level: this.level, afterS: this.afterS(backlogS), short: this.short };
   }
 
   private measure(now: Instant, queuedMs: number): void {
@@ -79,8 +101,8 @@
     return Math.min(AFTER_MAX_S, 1 + this.delayMs / 250 + backlogS);
   }
 
-  heard(node: NodeId, { level, afterS, backlogS }: Told): void {
-    this.told.set(node, { level, afterS, backlogS, until: later(this.io.now, TOLD_MS) });
+  heard(node: NodeId, { level, afterS, backlogS, short }: Told): void {
+    this.told.set(node, { level, afterS, backlogS, short, until: later(this.io.now, TOLD_MS) });
   }
 
   private toldBy(node: NodeId | null): Told | null {
@@ -98,6 +120,10 @@
   refusal(op: UserRequest['op'], owner: NodeId | null, backlogS: number): UserAnswer | null {
     if (op === 'cancel') return null;
     const theirs = this.toldBy(owner);
+    if (op === 'submit' && (this.short || theirs?.short)) {
+      this.shed++;
+      return retry('too little memory for more work at the moment', spread(this.io, SHORT_AFTER_S), true);
+    }
     const level = Math.max(this.level, theirs?.level ?? 0);
     if (level === 0) return null;
     if (op === 'status' ? this.io.random.below(10) >= QUESTIONS_SHED[level]! : level < 2) return null;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -125,7 +125,9 @@
     case 'relay':
       return { relay: { id: m.id, report: JSON.stringify(m.report) } };
     case 'load':
-      return { load: { level: m.level, afterS: m.afterS, workers: m.workers, backlogS: m.backlogS } };
+      return {
+        load: { level: m.level, afterS: m.afterS, workers: m.workers, backlogS: m.backlogS, short: m.short },
+      };
     case 'front':
       return { front: frontFields(m.id, m.report) };
     case 'fronted':
@@ -255,8 +257,15 @@
     };
   if (e.load) {
     const level = Math.min(2, e.load.level ?? 0) as 0 | 1 | 2;
-    const { afterS, workers, backlogS } = e.load;
-    return { kind: 'load', level, afterS: afterS ?? 1, workers: workers ?? 0, backlogS: backlogS ?? 0 };
+    const { afterS, workers, backlogS, short } = e.load;
+    return {
+      kind: 'load',
+      level,
+      afterS: afterS ?? 1,
+      workers: workers ?? 0,
+      backlogS: backlogS ?? 0,
+      short: short ?? false,
+    };
   }
   if (e.front) return { kind: 'front', id: e.front.id ?? 0, report: decodeFront(e.front) };
   if (e.fronted) return { kind: 'fronted', id: e.fronted.id ?? 0, answer: decodeFronted(e.fronted) };
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -67,7 +67,9 @@
       ),
     }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
-    limits: v.optional(v.object({ sockets: v.optional(positive, 1000) }), { sockets: 1000 }),
+    limits: v.optional(v.object({ sockets: v.optional(positive, 1000), ram_mb: v.nullish(positive) }), {
+      sockets: 1000,
+    }),
   }),
 });
 
@@ -135,5 +137,6 @@
     writeRpsNow: s.params.state.write_rps,
     cloud: { rps: s.params.cloud.rps, listLagS: s.params.cloud.list_lag_s },
     sockets: s.params.limits.sockets,
+    ramMb: s.params.limits.ram_mb ?? null,
   };
 }
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -22,6 +22,7 @@
 import { encodeOrders, encodeWorkerAnswer, parseReport } from '../protocol/worker.ts';
 import type { Instant, JobId, NodeId, WallTime } from '../types/index.ts';
 import { splitAddr } from './addr.ts';
+import { Heap } from './heap.ts';
 import type { Log } from './log.ts';
 import { Peers } from './peers.ts';
 import { seeded } from './random.ts';
@@ -49,12 +50,14 @@
   private readonly lag = buildHistogram({ bitBucketSize: 16, numberOfSignificantValueDigits: 1 });
   private nextReq = 1;
   private readonly turns = new Turns();
+  private readonly heap: Heap;
 
   constructor(
     private readonly settings: Settings,
     options: RunOptions,
   ) {
     this.log = options.log;
+    this.heap = new Heap(settings.ramMb);
     this.core = new Controller(settings, options.dispatch, seeded(options.seed));
     this.state = new HttpClient(settings.stateAddr, 4, MAX_REPLY);
     this.watches = new HttpClient(settings.stateAddr, 3, MAX_REPLY);
@@ -75,7 +78,7 @@
       const now = performance.now();
       this.lag.recordValue(Math.max(0, Math.round(now - due)));
       due = now + TICK_MS;
-      this.step({ kind: 'tick', queuedMs: this.turns.ageMs });
+      this.step({ kind: 'tick', queuedMs: this.turns.ageMs, memory: this.heap.used(now) });
     }, TICK_MS);
     this.step({ kind: 'tick' });
   }
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -4,6 +4,7 @@
 import { Outbox } from '../src/core/io.ts';
 import { Overload } from '../src/core/overload.ts';
 import { Turns, type Urgency } from '../src/http/turns.ts';
+import { growthPercent, Heap } from '../src/runtime/heap.ts';
 import { seeded } from '../src/runtime/random.ts';
 import type { Instant, NodeId, WallTime } from '../src/types/index.ts';
 import { job, World } from './support/world.ts';
@@ -123,7 +124,7 @@
   const o = new Overload(io);
   const owner = 'node-1' as NodeId;
   io.begin(0 as Instant, 0 as WallTime);
-  o.heard(owner, { level: 2, afterS: 6, backlogS: 2 });
+  o.heard(owner, { level: 2, afterS: 6, backlogS: 2, short: false });
   assert.equal(o.slownessMs(owner), 3000);
   assert.equal(o.refusal('submit', owner, 0)?.kind, 'retry');
   assert.equal(o.refusal('submit', 'node-2' as NodeId, 0), null);
@@ -152,3 +153,65 @@
   assert.ok(w.until(() => w.isDone('run-1'), 60));
   assert.deepEqual(w.broken, []);
 });
+
+test('an owner short of memory takes no more jobs, by any node, and goes on with those it has', () => {
+  const w = new World();
+  w.runS = 20;
+  w.submit(job('run-1', { tasks: 6, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length >= 3));
+  const owner = w.owner!;
+  const other = [...w.nodes.keys()].find((n) => n !== owner)!;
+  const taken = (): boolean => w.nodes.get(other)!.refusal('submit') === null;
+  w.memory.set(owner, 0.9);
+  w.run(2);
+  assert.ok(taken(), 'below the bound nothing is sent back');
+  w.memory.set(owner, 0.95);
+  w.run(2);
+  const refused = w.nodes.get(other)!.refusal('submit');
+  assert.ok(
+    refused?.kind === 'retry' && refused.overload && refused.afterS >= 5 && /memory/.test(refused.reason),
+  );
+  assert.equal(w.nodes.get(owner)!.refusal('submit')?.kind, 'retry');
+  for (const op of ['status', 'cancel'] as const)
+    for (const n of [owner, other]) assert.equal(w.nodes.get(n)!.refusal(op), null, op);
+  w.memory.set(owner, 0.88);
+  w.run(3);
+  assert.ok(!taken(), 'it does not flutter about one bound');
+  assert.ok(
+    w.until(() => w.isDone('run-1'), 90),
+    'what was accepted goes on',
+  );
+  w.memory.set(owner, 0.8);
+  w.run(3);
+  assert.ok(taken());
+  assert.deepEqual(w.broken, []);
+});
+
+test('garbage may grow with the memory that the platform gives, and is collected early where little is left', () => {
+  const at = (rssMb: number, limitMb: number, heapMb = 30) => growthPercent({ rssMb, heapMb, limitMb });
+  assert.equal(at(80, 1000), 60);
+  assert.equal(at(130, 146), 15);
+  assert.equal(at(200, 146), 15);
+  assert.ok(at(108, 146) > 15 && at(108, 146) < 60);
+  const set: number[] = [];
+  let rssMb = 75;
+  const heap = new Heap(
+    146,
+    () => ({ rssMb, heapMb: 25 }),
+    (p) => set.push(p),
+  );
+  assert.ok(Math.abs(heap.used(0) - 75 / 146) < 1e-9);
+  rssMb = 140;
+  assert.ok(heap.used(500) < 0.6, 'looked at once a second');
+  assert.ok(heap.used(1000) > 0.95);
+  heap.used(2000);
+  assert.deepEqual(set, [60, 15], 'told only when it changes');
+  assert.equal(
+    new Heap(
+      null,
+      () => assert.fail(),
+      () => assert.fail(),
+    ).used(0),
+    0,
+  );
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -50,6 +50,7 @@
   writeRpsNow: 100,
   cloud: { rps: 5, listLagS: 2 },
   sockets: 100,
+  ramMb: null,
   ...over,
 });
 
@@ -222,7 +223,7 @@
     }
     const tick = () => {
       if (this.lives.get(name) !== life || !this.nodes.has(name)) return;
-      this.input(name, { kind: 'tick' });
+      this.input(name, { kind: 'tick', memory: this.memory.get(name) ?? 0 });
       this.after(100 + (this.slowTicks.get(name) ?? 0), tick);
     };
     tick();
@@ -301,6 +302,8 @@
   tapPeer: ((m: PeerMessage) => boolean) | null = null;
   /** Nodes whose timers fire late, by so many milliseconds. */
   readonly slowTicks = new Map<string, number>();
+  /** The part of their memory that nodes use. */
+  readonly memory = new Map<string, number>();
   /** Nodes that greet others as versions before chained jobs do. */
   readonly oldForm = new Set<string>();
 
