swiftford submit, run, watch and cancel, on the client library

Change: four commands in a bundle of their own, which a controller does not load; jobs from JSON, JSON lines and HCL; keys from what a job says, so that the same file run again goes on with the same jobs.

Library: cli-progress.

--- /dev/null
+++ b/src/cli/client-commands.ts
@@ -0,0 +1,172 @@
+// `swiftford submit`, `run`, `watch` and `cancel`: the client library on the command line.
+import { readFileSync } from 'node:fs';
+import { SingleBar } from 'cli-progress';
+import { BadRequest, Client, type JobState, type Outcome } from '../../packages/client/src/index.ts';
+import { isJobId } from '../protocol/job.ts';
+import { BadSettings } from '../protocol/settings.ts';
+import { type FileJob, readJobs } from './job-file.ts';
+
+/** Documented in docs/client.md; of several jobs the highest counts. */
+export const EXIT = { done: 0, trouble: 1, usage: 2, cancelled: 3, refused: 4, gaveUp: 5 } as const;
+
+export interface ClientFlags {
+  node: string[];
+  outbox?: string;
+  wait?: boolean;
+  json?: boolean;
+  within?: string;
+  acceptWithin?: string;
+}
+
+const codeOf = (o: Outcome | null): number =>
+  o === null || o.kind === 'done'
+    ? EXIT.done
+    : o.kind === 'cancelled'
+      ? EXIT.cancelled
+      : o.kind === 'refused'
+        ? EXIT.refused
+        : EXIT.gaveUp;
+
+function seconds(name: string, value: string | undefined): number | undefined {
+  if (value === undefined) return undefined;
+  const n = Number(value);
+  if (!(n > 0)) throw new BadSettings(`--${name}: a number of seconds above 0`);
+  return n;
+}
+
+const print = (line: string): void => void process.stdout.write(`${line}\n`);
+
+function say(name: string | null, id: string, o: Outcome | null, json: boolean): void {
+  if (json)
+    return print(JSON.stringify({ ...(name === null ? {} : { name }), id, ...(o ?? { kind: 'accepted' }) }));
+  const what =
+    o === null
+      ? 'accepted'
+      : o.kind === 'refused'
+        ? `refused${o.status === null ? '' : ` (${o.status})`}: ${o.reason}`
+        : o.kind === 'gave-up'
+          ? `given up: ${o.reason}; ${o.resume}`
+          : o.kind;
+  print(`${id}${name === null ? '' : `  ${name}`}  ${what}`);
+}
+
+/** Runs with a client, which is closed on every way out; Ctrl-C ends the waiting and leaves the jobs as they are. */
+async function withClient(
+  f: ClientFlags,
+  run: (c: Client, signal: AbortSignal) => Promise<number>,
+): Promise<void> {
+  const stop = new AbortController();
+  const onInt = (): void => stop.abort(new DOMException('stopped; jobs that were sent go on', 'AbortError'));
+  process.once('SIGINT', onInt);
+  let client: Client | null = null;
+  try {
+    client = await Client.open({ nodes: f.node, ...(f.outbox === undefined ? {} : { outbox: f.outbox }) });
+    if (client.torn !== null)
+      process.stderr.write(
+        `swiftford: ${f.outbox}: an unfinished record at byte ${client.torn.offset} was cut off\n`,
+      );
+    process.exitCode = await run(client, stop.signal);
+  } catch (e) {
+    process.stderr.write(`swiftford: ${(e as Error).message}\n`);
+    process.exitCode = e instanceof BadRequest || e instanceof BadSettings ? EXIT.usage : EXIT.trouble;
+  } finally {
+    process.removeListener('SIGINT', onInt);
+    await client?.close();
+  }
+}
+
+async function jobsOf(file: string) {
+  const text = file === '-' ? readFileSync(0, 'utf8') : readText(file);
+  const hcl = file.endsWith('.hcl') ? (await import('./hcl-parser.js')).parse : null;
+  return readJobs(file, text, hcl);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (e) {
+    throw new BadSettings(`${file}: cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
+  }
+}
+
+export async function submit(file: string, f: ClientFlags): Promise<void> {
+  const { jobs, pipeline } = await jobsOf(file);
+  const times = {
+    acceptWithinS: seconds('accept-within', f.acceptWithin),
+    withinS: seconds('within', f.within),
+  };
+  const options = Object.fromEntries(Object.entries(times).filter(([, v]) => v !== undefined));
+  const wait = f.wait === true || pipeline;
+  await withClient(f, async (client, signal) => {
+    const bar =
+      f.json || !process.stderr.isTTY
+        ? null
+        : new SingleBar({ format: '{bar} {value}/{total} jobs', hideCursor: true });
+    bar?.start(jobs.length, 0);
+    let code = 0;
+    const end = (name: string, id: string, o: Outcome | null): void => {
+      code = Math.max(code, codeOf(o));
+      if (bar === null) say(name, id, o, f.json === true);
+      bar?.increment();
+    };
+    const bad: { name: string; id: string; outcome: Outcome }[] = [];
+    const note = (j: FileJob, id: string, o: Outcome | null): void => {
+      if (o !== null && o.kind !== 'done') bad.push({ name: j.name, id, outcome: o });
+      end(j.name, id, o);
+    };
+    try {
+      if (pipeline) {
+        const named = Object.fromEntries(jobs.map((j) => [j.name, j.request]));
+        const keys = jobs.map((j) => j.key).join('');
+        const outcomes = await client.pipeline(named, { ...options, key: keys, signal });
+        for (const j of jobs) note(j, outcomes[j.name]!.id, outcomes[j.name]!);
+      } else
+        await Promise.all(
+          jobs.map(async (j) => {
+            const s = await client.submit(j.request, { ...options, key: j.key, signal });
+            note(j, s.id, s.outcome ?? (wait ? await client.wait(s.id, { signal }) : null));
+          }),
+        );
+    } finally {
+      bar?.stop();
+    }
+    if (bar !== null) for (const b of bad) say(b.name, b.id, b.outcome, false);
+    return code;
+  });
+}
+
+/** One job given by its fields on the command line or a file with one job; waits for its end. */
+export const run = (file: string, f: ClientFlags): Promise<void> => submit(file, { ...f, wait: true });
+
+function checked(id: string): string {
+  if (!isJobId(id)) throw new BadSettings(`${id}: a job id looks like run-000412`);
+  return id;
+}
+
+export async function watch(id: string, f: ClientFlags): Promise<void> {
+  checked(id);
+  const withinS = seconds('within', f.within);
+  await withClient(f, async (client, signal) => {
+    const states = client.watch(id, { signal, ...(withinS === undefined ? {} : { withinS }) });
+    for (;;) {
+      const { value, done } = await states.next();
+      if (done) {
+        say(null, id, value as Outcome, f.json === true);
+        return codeOf(value as Outcome);
+      }
+      const s = value as JobState;
+      print(f.json ? JSON.stringify(s) : `${id}  ${s.phase}  ${s.done} done, ${s.running} running`);
+    }
+  });
+}
+
+export async function cancel(id: string, f: ClientFlags): Promise<void> {
+  checked(id);
+  const withinS = seconds('within', f.within) ?? 120;
+  await withClient(f, async (client, signal) => {
+    const o = await client.cancel(id, { signal, withinS });
+    say(null, id, o, f.json === true);
+    // Here a job that is cancelled is what was asked for.
+    return o.kind === 'cancelled' ? EXIT.done : codeOf(o);
+  });
+}
--- /dev/null
+++ b/src/cli/job-file.ts
@@ -0,0 +1,86 @@
+// Jobs from a file: JSON (one job or a list), JSON lines, or HCL (`job "name" { ... }`).
+import { createHash } from 'node:crypto';
+import type { JobRequest } from '../../packages/client/src/index.ts';
+import { BadSettings } from '../protocol/settings.ts';
+import type { parse } from './hcl-parser.js';
+
+export interface FileJob {
+  /** Its name in the file, or its place there. */
+  name: string;
+  /** The same for the same job of the same file, however often it is read; another one when the job is edited. */
+  key: string;
+  request: JobRequest;
+}
+
+/** `awaits` that name jobs of the file are theirs; `pipeline` says whether there are any. */
+export interface JobFile {
+  jobs: FileJob[];
+  pipeline: boolean;
+}
+
+type Fields = Record<string, unknown>;
+
+export function readJobs(file: string, text: string, hcl: typeof parse | null): JobFile {
+  const named = hcl === null ? fromJson(file, text) : fromHcl(file, text, hcl);
+  if (named.length === 0) throw new BadSettings(`${file}: there is no job in it`);
+  const seen = new Map<string, number>();
+  const jobs = named.map(({ name, fields }) => {
+    if (typeof fields !== 'object' || fields === null || Array.isArray(fields))
+      throw new BadSettings(`${file}: ${name}: a job is an object`);
+    // A named job keeps its name, so that others can await it by it.
+    const { name: _, ...request } = fields as Fields;
+    const hash = createHash('sha256')
+      .update(JSON.stringify([name, request]))
+      .digest('hex')
+      .slice(0, 16);
+    const nth = seen.get(hash) ?? 0;
+    seen.set(hash, nth + 1);
+    return { name, key: nth === 0 ? hash : `${hash}.${nth}`, request: request as unknown as JobRequest };
+  });
+  const names = new Set(jobs.map((j) => j.name));
+  if (names.size < jobs.length) throw new BadSettings(`${file}: two jobs have the same name`);
+  return { jobs, pipeline: jobs.some((j) => j.request.awaits?.some((a) => names.has(a))) };
+}
+
+interface Named {
+  name: string;
+  fields: unknown;
+}
+
+function fromJson(file: string, text: string): Named[] {
+  const trimmed = text.trim();
+  const lines = trimmed.split('\n').filter((l) => l.trim() !== '');
+  const whole = tryJson(trimmed);
+  if (whole !== undefined) return (Array.isArray(whole) ? whole : [whole]).map(named('job'));
+  return lines.map((l, i) => {
+    const value = tryJson(l);
+    if (value === undefined) throw new BadSettings(`${file}: line ${i + 1} is not JSON`);
+    return named('line')(value, i);
+  });
+}
+
+const named =
+  (what: string) =>
+  (fields: unknown, i: number): Named => {
+    const name = (fields as Fields | null)?.name;
+    return { name: typeof name === 'string' ? name : `${what} ${i + 1}`, fields };
+  };
+
+function tryJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function fromHcl(file: string, text: string, parseHcl: typeof parse): Named[] {
+  const [parsed, error] = parseHcl(text);
+  if (error !== null && error !== undefined) throw new BadSettings(`${file}: cannot be parsed as HCL`);
+  const { job, ...rest } = (parsed ?? {}) as Fields;
+  const other = Object.keys(rest)[0];
+  if (other !== undefined) throw new BadSettings(`${file}: ${other}: only job "name" { ... } blocks`);
+  return Object.entries((job ?? {}) as Record<string, unknown[]>).flatMap(([name, blocks]) =>
+    blocks.map((fields) => ({ name, fields })),
+  );
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -122,4 +122,31 @@
   .description("show a node's own status")
   .action(guarded((addr: string) => ask(addr, '/status')));
 
+// The client library is in a file of its own: a controller does not load it.
+const CLIENT = './client-commands.js';
+type ClientCommands = typeof import('./client-commands.ts');
+const asClient = (c: Command, name: 'submit' | 'run' | 'watch' | 'cancel'): Command =>
+  c
+    .requiredOption('-n, --node <address...>', 'nodes or their load balancer (10.0.0.1:8080)')
+    .option('--json', 'one line of JSON for each job')
+    .option('--within <seconds>', 'give up after so long; the job itself goes on')
+    .action(
+      guarded(async (what: string, flags: Parameters<ClientCommands['watch']>[1]) => {
+        await ((await import(CLIENT)) as ClientCommands)[name](what, flags);
+      }),
+    );
+const withOutbox = (c: Command): Command =>
+  c
+    .option('--outbox <file>', 'keep jobs in this file, so that the same command goes on after it was killed')
+    .option('--accept-within <seconds>', 'give up if it is not accepted after so long (600)');
+asClient(
+  withOutbox(program.command('submit <file>'))
+    .description('submit the jobs of a file (JSON, JSON lines, .hcl; - for standard input)')
+    .option('--wait', 'wait for their ends'),
+  'submit',
+);
+asClient(withOutbox(program.command('run <file>')).description('submit and wait for the ends'), 'run');
+asClient(program.command('watch <id>').description('show the states of a job until it ends'), 'watch');
+asClient(program.command('cancel <id>').description('cancel a job and tell how it ended'), 'cancel');
+
 program.parseAsync();
