--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -17,6 +17,8 @@
   connections?: number;
   /** Submissions that may wait for acceptance before `submit` itself waits; default 1000. */
   pending?: number;
+  /** Called before a new job is kept and sent, as to upload what its tasks need; the job is not sent if it fails. */
+  prepare?: (id: string, request: JobRequest, key: string | null) => Promise<void>;
 }
 
 export interface SubmitOptions {
@@ -67,7 +69,10 @@
   private readonly turns: (() => void)[] = [];
   private closed = false;
 
-  private constructor(private readonly options: Required<Omit<ClientOptions, 'outbox'>>) {
+  private constructor(
+    private readonly options: Required<Omit<ClientOptions, 'outbox' | 'prepare'>> &
+      Pick<ClientOptions, 'prepare'>,
+  ) {
     const { nodes, connections } = options;
     this.session = new Session({ nodes, perNode: connections, chance: Math.random });
     for (const n of nodes) this.lines.set(n, new HttpClient(n, connections, MAX_REPLY));
@@ -130,6 +135,7 @@
       if (key !== null) this.keys.set(key, id);
       try {
         await this.turn(signal);
+        await this.options.prepare?.(id, request, key);
         this.check();
       } catch (e) {
         // Nothing was kept or sent. Others who wait for the same are told the same.
--- /dev/null
+++ b/packages/lab/src/lab.ts
@@ -0,0 +1,486 @@
+// A cluster on one machine: stand-ins of state service, cloud and workers on loopback, and controllers as real processes.
+import { type ChildProcess, spawn } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { Budget } from '../../../src/core/budget.ts';
+import type {
+  CloudReply,
+  ExitReason,
+  MachineType,
+  Report,
+  StateReply,
+  WorkerAnswer,
+} from '../../../src/core/model.ts';
+import { HttpClient } from '../../../src/http/client.ts';
+import {
+  decodeCloudCall,
+  decodeOrders,
+  decodeStateCall,
+  decodeWorkerAnswer,
+  encodeCloudReply,
+  encodeReport,
+  encodeStateReply,
+} from '../../../src/protocol/far.ts';
+import { isJobId } from '../../../src/protocol/job.ts';
+import { seeded } from '../../../src/runtime/random.ts';
+import type { Instant, MachineId, TaskId, TypeName, ZoneName } from '../../../src/types/index.ts';
+import { FakeCloud } from './cloud.ts';
+import { endGroup, Guard } from './guard.ts';
+import type { LabOptions } from './options.ts';
+import type { CloudPlace, Work, WorkerPlace } from './place.ts';
+import { error, freePort, type Listening, listen } from './serve.ts';
+import { FakeState } from './state.ts';
+import { type Description, type Run, Tasks } from './tasks.ts';
+import { FakeWorker } from './worker.ts';
+
+export interface LabSetup {
+  /** The daemon: program and arguments before `serve`. */
+  program: string[];
+  /** Where settings, logs and what tasks write are put. */
+  dir: string;
+  log: (line: string) => void;
+}
+
+interface Controller {
+  name: string;
+  addr: string;
+  process: ChildProcess | null;
+  restarts: number;
+}
+
+/** What can be done to a lab, by `swiftford fault` and the drills. */
+export type Fault =
+  | { kind: 'kill-controller'; name?: string }
+  | { kind: 'freeze-controller'; name?: string; seconds: number }
+  | { kind: 'state-outage'; seconds: number }
+  /** Half of the answers of the state service are lost, the requests executed. */
+  | { kind: 'state-silent'; seconds: number }
+  | { kind: 'cloud-outage'; seconds: number }
+  | { kind: 'machine-death'; count: number }
+  | { kind: 'spot-wave'; notice: number }
+  /** Reports of a zone's workers get no answers. */
+  | { kind: 'zone-cut'; zone: string; seconds: number };
+
+const RESTART_MS = 1500;
+
+export class Lab implements CloudPlace, WorkerPlace {
+  readonly workers = new Map<string, FakeWorker>();
+  readonly reportMs: number;
+  readonly leaseMs: number;
+  readonly nodeNames: string[];
+  readonly state = new FakeState(this);
+  readonly cloud = new FakeCloud(this);
+  readonly controllers: Controller[] = [];
+  private readonly guard = new Guard();
+  private readonly tasks: Tasks;
+  private readonly timers = new Set<NodeJS.Timeout>();
+  private readonly serving: Listening[] = [];
+  private readonly ends = new Map<FakeWorker, Listening>();
+  private readonly lines = new Map<string, HttpClient>();
+  private readonly random;
+  private readonly budgets: { requests: Budget; writes: Budget; cloud: Budget };
+  private silentUntil = 0;
+  private readonly cutUntil = new Map<string, number>();
+  private stopping = false;
+  /** Address of the lab itself. */
+  addr = '';
+
+  private constructor(
+    private readonly options: LabOptions,
+    private readonly setup: LabSetup,
+  ) {
+    const { lab, workers, state, cloud } = options;
+    this.random = seeded(lab.seed);
+    this.reportMs = workers.report_s * 1000;
+    this.leaseMs = workers.lease_s * 1000;
+    this.nodeNames = Array.from({ length: lab.controllers }, (_, i) => `node-${i}`);
+    this.tasks = new Tasks(this, join(setup.dir, 'jobs'), this.guard, {
+      speed: lab.speed,
+      gangWaitS: workers.gang_wait_s,
+      gangPeerS: workers.gang_peer_s,
+    });
+    this.budgets = {
+      requests: new Budget(state.rps, state.rps),
+      writes: new Budget(state.write_rps, state.write_rps),
+      cloud: new Budget(cloud.rps, 2 * cloud.rps),
+    };
+    this.state.limits = { valueBytes: state.value_kb * 1024, txnOps: state.txn_ops };
+    this.cloud.lagMs = cloud.list_lag_s * 1000;
+    this.cloud.types = Object.entries(options.types).map(
+      ([name, t]): MachineType => ({
+        name: name as TypeName,
+        cpus: t.cpus,
+        gpus: t.gpus,
+        memoryGb: t.memory_gb,
+        cacheGb: t.cache_gb,
+        fetchGbPerS: t.fetch_gb_per_s,
+        price: t.price,
+        spotPrice: t.spot_price,
+        bootS: t.boot_s,
+        zones: lab.zones as ZoneName[],
+      }),
+    );
+    this.cloud.room = (type, _zone, spot) => options.types[type]?.[spot ? 'spot' : 'count'] ?? 0;
+    this.cloud.bootMs = (type) =>
+      ((options.types[type]!.boot_s * 1000) / lab.speed) * (0.6 + this.random.below(90) / 100);
+  }
+
+  static async start(options: LabOptions, setup: LabSetup): Promise<Lab> {
+    const lab = new Lab(options, setup);
+    try {
+      await lab.begin();
+    } catch (e) {
+      await lab.stop();
+      throw e;
+    }
+    return lab;
+  }
+
+  private async begin(): Promise<void> {
+    const { dir } = this.setup;
+    mkdirSync(dir, { recursive: true });
+    const state = await this.serve(0, (m, p, b, a) => this.serveState(m, p, b, a));
+    const cloud = await this.serve(0, (m, p, b, a) => this.serveCloud(m, p, b, a));
+    const ports: number[] = [];
+    for (let i = 0; i < 2 * this.nodeNames.length; i++) ports.push(await freePort());
+    const { zones } = this.options.lab;
+    const at = this.nodeNames.map((name, i) => ({
+      name,
+      location: zones[i % zones.length]!,
+      addr: `127.0.0.1:${ports[2 * i]}`,
+      peer: `127.0.0.1:${ports[2 * i + 1]}`,
+    }));
+    for (const n of at) {
+      const file = join(dir, `${n.name}.json`);
+      writeFileSync(file, JSON.stringify(this.settingsOf(n, at, state.addr, cloud.addr), null, 1));
+      const c: Controller = { name: n.name, addr: n.addr, process: null, restarts: 0 };
+      this.controllers.push(c);
+      this.lines.set(n.name, new HttpClient(n.addr, 64, 4 << 20));
+      this.startController(c);
+    }
+    this.addr = (await this.serve(this.options.lab.port, (m, p, b, a) => this.serveLab(m, p, b, a))).addr;
+  }
+
+  private settingsOf(
+    n: { name: string; location: string; addr: string; peer: string },
+    all: { name: string; location: string; peer: string }[],
+    state: string,
+    cloud: string,
+  ): unknown {
+    const o = this.options;
+    return {
+      node: n.name,
+      location: n.location,
+      bind: n.addr,
+      internal_addr: n.peer,
+      others: all
+        .filter((x) => x.name !== n.name)
+        .map((x) => ({ node: x.name, location: x.location, peer_addr: x.peer })),
+      outside: { cloud, state },
+      params: {
+        zones: o.lab.zones,
+        teams: Object.entries(o.teams).map(([name, t]) => ({ name, ...t })),
+        objectives: [],
+        workers: o.workers,
+        state: {
+          rps: o.state.rps,
+          write_rps: o.state.write_rps,
+          value_kb: o.state.value_kb,
+          txn_ops: o.state.txn_ops,
+        },
+        cloud: { rps: o.cloud.rps, list_lag_s: o.cloud.list_lag_s },
+        limits: { sockets: 2000 },
+      },
+    };
+  }
+
+  private async serve(port: number, handler: Parameters<typeof listen>[1]): Promise<Listening> {
+    const l = await listen(port, handler);
+    this.serving.push(l);
+    return l;
+  }
+
+  // ---- controllers
+
+  private startController(c: Controller): void {
+    if (this.stopping) return;
+    const { dir, program, log } = this.setup;
+    const out = openSync(join(dir, `${c.name}.log`), 'a');
+    const [command, ...args] = [...program, 'serve', '--config', join(dir, `${c.name}.json`)];
+    const child = spawn(command!, args, { detached: true, stdio: ['ignore', out, out] });
+    closeSync(out);
+    c.process = child;
+    this.guard.add(child);
+    child.once('error', (e) => log(`${c.name} cannot be started: ${e.message}`));
+    child.once('exit', (code, signal) => {
+      c.process = null;
+      if (this.stopping) return;
+      log(`${c.name} has ended (${signal ?? code}) and is started again`);
+      c.restarts++;
+      this.after(RESTART_MS, () => this.startController(c));
+    });
+  }
+
+  /** Resolves when a controller is ready for users. */
+  async ready(withinMs = 30_000): Promise<void> {
+    const until = this.now + withinMs;
+    while (this.now < until && !this.stopping) {
+      for (const c of this.controllers) if (await this.isReady(c)) return;
+      await new Promise<void>((r) => this.after(100, r));
+    }
+    throw new Error(`no controller is ready; see the logs in ${this.setup.dir}`);
+  }
+
+  private isReady(c: Controller): Promise<boolean> {
+    return new Promise((resolve) =>
+      this.lines
+        .get(c.name)!
+        .call({ method: 'GET', path: '/ready', body: null, timeoutMs: 1000 }, (r) =>
+          resolve(r?.status === 200),
+        ),
+    );
+  }
+
+  // ---- the stand-ins on sockets
+
+  private serveState(method: string, path: string, body: unknown, answer: (a: Answered) => void): void {
+    const call = decodeStateCall(method, path, body);
+    if (call === null) return answer(error(404, 'no such path'));
+    const { op, page } = call;
+    const now = this.now as Instant;
+    const writes = op.kind === 'commit' ? op.puts.length + op.drops.length : 0;
+    const { requests, writes: budget } = this.budgets;
+    if (!this.state.down && (!requests.take(now) || (writes > 0 && !budget.take(now, writes))))
+      return answer(error(429, 'too many requests'));
+    const silent = this.now < this.silentUntil && this.random.below(2) === 0;
+    this.state.serve('', op, (r: StateReply) => {
+      if (silent) return;
+      this.after(this.options.state.latency_ms, () =>
+        answer(encodeStateReply(op, r, page, this.state.revision)),
+      );
+    });
+    this.state.served.length = 0;
+  }
+
+  private serveCloud(method: string, path: string, body: unknown, answer: (a: Answered) => void): void {
+    const call = decodeCloudCall(method, path, body);
+    if (call === null) return answer(error(404, 'no such path'));
+    if (!this.budgets.cloud.take(this.now as Instant)) return answer(error(429, 'too many requests'));
+    const r: CloudReply = this.cloud.serve(call.op);
+    this.cloud.released.length = 0;
+    this.after(this.options.cloud.latency_ms, () => answer(encodeCloudReply(call.op, r, call.page)));
+  }
+
+  machine(id: MachineId, type: TypeName, zone: ZoneName, spot: boolean): FakeWorker {
+    const w = new FakeWorker(this, id, type, zone, spot, this.random.below(this.nodeNames.length));
+    this.workers.set(id, w);
+    listen(0, (method, path, body, answer) => this.serveWorker(w, method, path, body, answer)).then((l) => {
+      w.addr = l.addr;
+      if (w.dead || this.stopping) l.close();
+      else this.ends.set(w, l);
+    });
+    return w;
+  }
+
+  private serveWorker(
+    w: FakeWorker,
+    method: string,
+    path: string,
+    body: unknown,
+    answer: (a: Answered) => void,
+  ): void {
+    if (!w.up) return answer(error(503, 'it is not up yet'));
+    if (method === 'GET' && path === '/inspect')
+      return answer({ status: 200, body: encodeReport(w.report()) });
+    if (method !== 'POST' || path !== '/orders') return answer(error(404, 'no such path'));
+    const { token, session, commands } = decodeOrders(body);
+    if (session === null) return answer(error(400, 'the session is missing'));
+    w.orders(token, session, commands, (r) => {
+      if (r.kind === 'report') answer({ status: r.executed ? 200 : 409, body: encodeReport(r.report) });
+    });
+  }
+
+  // ---- what workers need
+
+  get now(): number {
+    return performance.timeOrigin + performance.now();
+  }
+
+  after(ms: number, run: () => void): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer);
+      if (!this.stopping) run();
+    }, ms);
+    this.timers.add(timer);
+  }
+
+  sendReport(
+    worker: FakeWorker,
+    node: string,
+    report: Report,
+    timeoutMs: number,
+    done: (a: WorkerAnswer | null) => void,
+  ): void {
+    // Behind a cut nothing is heard of any node.
+    if (this.now < (this.cutUntil.get(worker.zone) ?? 0)) return this.after(timeoutMs, () => done(null));
+    const body = encodeReport(report);
+    this.lines.get(node)!.call({ method: 'POST', path: '/checkin', body, timeoutMs }, (r) => {
+      let answer: WorkerAnswer | null = null;
+      try {
+        if (r !== null) answer = decodeWorkerAnswer(r.status, JSON.parse(r.body.toString('utf8')));
+      } catch {}
+      if (!this.stopping) done(answer);
+    });
+  }
+
+  placed(): void {}
+
+  launch(
+    worker: FakeWorker,
+    task: TaskId,
+    attempt: number,
+    end: (why: ExitReason) => void,
+    is: (state: 'fetching' | 'waiting' | 'running') => void,
+  ): Work {
+    const type = this.options.types[worker.type]!;
+    const machine = { id: worker.id, fetchGbPerS: type.fetch_gb_per_s, cacheGb: type.cache_gb };
+    return this.tasks.launch(machine, task, attempt, end, is);
+  }
+
+  gone(worker: FakeWorker): void {
+    this.ends.get(worker)?.close();
+    this.ends.delete(worker);
+  }
+
+  // ---- the lab's own address
+
+  private serveLab(method: string, path: string, body: unknown, answer: (a: Answered) => void): void {
+    const ok = (x: unknown): void => answer({ status: 200, body: JSON.stringify(x) });
+    const [, what, id, index] = path.split('?', 1)[0]!.split('/');
+    if (method === 'GET' && what === 'lab')
+      return ok({
+        controllers: this.controllers.map((c) => ({ name: c.name, addr: c.addr, up: c.process !== null })),
+        machines: this.workers.size,
+        dir: this.setup.dir,
+      });
+    if (method === 'PUT' && what === 'jobs' && isJobId(id ?? '')) {
+      this.tasks.describe(id!, body as Description);
+      return ok({});
+    }
+    if (method === 'GET' && what === 'logs' && isJobId(id ?? '')) {
+      const stream = path.endsWith('?stderr') ? 'stderr' : 'stdout';
+      const file = this.tasks.logFile(`${id}/${index ?? '0'}` as TaskId, stream);
+      if (file === null) return answer(error(404, 'this task was not started here'));
+      try {
+        return ok({ text: readFileSync(file, 'utf8') });
+      } catch {
+        return ok({ text: '' });
+      }
+    }
+    if (method === 'POST' && what === 'faults') {
+      try {
+        return ok({ done: this.fault(body as Fault) });
+      } catch (e) {
+        return answer(error(400, (e as Error).message));
+      }
+    }
+    answer(error(404, 'no such path'));
+  }
+
+  // ---- faults
+
+  /** Does it and says what was done, in a sentence. */
+  fault(f: Fault): string {
+    const said = this.doFault(f);
+    this.setup.log(said);
+    return said;
+  }
+
+  private doFault(f: Fault): string {
+    const ms = 'seconds' in f ? Math.max(0, f.seconds) * 1000 : 0;
+    switch (f.kind) {
+      case 'kill-controller': {
+        const c = this.pick(f.name);
+        endGroup(c.process!.pid!);
+        return `${c.name} was killed`;
+      }
+      case 'freeze-controller': {
+        const c = this.pick(f.name);
+        const { pid } = c.process!;
+        endGroup(pid!, 'SIGSTOP');
+        this.after(ms, () => c.process?.pid === pid && endGroup(pid!, 'SIGCONT'));
+        return `${c.name} is stopped for ${f.seconds} s`;
+      }
+      case 'state-outage':
+        this.state.outage(f.seconds);
+        return `the state service is down for ${f.seconds} s`;
+      case 'state-silent':
+        this.silentUntil = this.now + ms;
+        return `the state service loses half of its answers for ${f.seconds} s`;
+      case 'cloud-outage':
+        this.cloud.down = true;
+        this.after(ms, () => {
+          this.cloud.down = false;
+        });
+        return `the cloud is down for ${f.seconds} s`;
+      case 'machine-death': {
+        const up = [...this.workers.values()].filter((w) => w.up && !w.dead);
+        const dying = up.sort((a, b) => (a.id < b.id ? -1 : 1)).slice(0, f.count);
+        for (const w of dying) this.takeAway(w);
+        return `${dying.length} machines are gone`;
+      }
+      case 'spot-wave': {
+        const spot = [...this.workers.values()].filter((w) => w.spot && w.up && !w.dead);
+        for (const w of spot) {
+          w.noticeS = f.notice;
+          this.after(f.notice * 1000, () => this.takeAway(w));
+        }
+        return `${spot.length} spot machines are taken back in ${f.notice} s`;
+      }
+      case 'zone-cut':
+        if (!this.options.lab.zones.includes(f.zone)) throw new Error(`there is no zone ${f.zone}`);
+        this.cutUntil.set(f.zone, this.now + ms);
+        return `zone ${f.zone} is cut off for ${f.seconds} s`;
+    }
+    throw new Error(`there is no such fault: ${(f as { kind: unknown }).kind}`);
+  }
+
+  private pick(name: string | undefined): Controller {
+    const up = this.controllers.filter((c) => c.process !== null && (name === undefined || c.name === name));
+    if (up.length === 0) throw new Error(`${name ?? 'no controller'} is not up`);
+    return up[this.random.below(up.length)]!;
+  }
+
+  private takeAway(w: FakeWorker): void {
+    w.die();
+    this.workers.delete(w.id);
+  }
+
+  // ---- for checks
+
+  get runs(): readonly Run[] {
+    return this.tasks.runs;
+  }
+
+  /** What the state service holds under a key. */
+  recorded(key: string): unknown {
+    return this.state.keys.get(key)?.value;
+  }
+
+  /** Ends everything that was started, by id. */
+  async stop(): Promise<void> {
+    this.stopping = true;
+    for (const t of this.timers) clearTimeout(t);
+    for (const w of [...this.workers.values()]) w.die();
+    const ended = this.controllers.map(
+      (c) => new Promise<void>((r) => (c.process === null ? r() : c.process.once('exit', () => r()))),
+    );
+    for (const c of this.controllers) if (c.process?.pid !== undefined) endGroup(c.process.pid);
+    await Promise.all(ended);
+    for (const l of this.lines.values()) l.close();
+    for (const s of this.serving) s.close();
+    this.guard.close();
+  }
+}
+
+type Answered = { status: number; body: string } | null;
--- a/test/support/state.ts
+++ b/packages/lab/src/state.ts
@@ -1,7 +1,9 @@
-// The state service's protocol in memory: versions, transactions, leases, watches, outages.
-import type { Item, StateOp, StateReply } from '../../src/core/model.ts';
-import type { HoldId, Revision } from '../../src/types/index.ts';
-import type { World } from './world.ts';
+// The state service's protocol: versions, transactions, leases, watches, outages.
+import type { Item, StateOp, StateReply } from '../../../src/core/model.ts';
+import type { HoldId, Revision } from '../../../src/types/index.ts';
+import type { Clock } from './place.ts';
+
+const KEPT_CHANGES = 10_000;
 
 export class FakeState {
   readonly keys = new Map<string, { value: unknown; revision: number; hold: number | null }>();
@@ -25,29 +27,21 @@
   private nextHold = 1;
   private log: { key: string; item: Item | null; revision: number }[] = [];
   private watches: (() => boolean)[] = [];
+  /** Changes up to here are no longer kept. */
+  private forgotten = 0;
 
-  constructor(private readonly world: World) {}
-
-  call(node: string, op: StateOp, timeoutMs: number, done: (r: StateReply) => void): void {
-    this.world.call<StateReply>(
-      node,
-      'state',
-      timeoutMs,
-      (reply) => this.serve(node, op, reply),
-      (r) => done(r ?? { kind: 'no-answer' }),
-    );
-  }
+  constructor(private readonly place: Clock) {}
 
   outage(seconds: number): void {
     this.down = true;
-    this.world.after(seconds * 1000, () => {
+    this.place.after(seconds * 1000, () => {
       this.down = false;
       // Once an outage is over, every lease has its full time again.
-      for (const h of this.holds.values()) h.ends = this.world.now + h.ttl;
+      for (const h of this.holds.values()) h.ends = this.place.now + h.ttl;
     });
   }
 
-  private serve(node: string, op: StateOp, reply: (r: StateReply) => void): void {
+  serve(node: string, op: StateOp, reply: (r: StateReply) => void): void {
     if (this.down || this.refused.has(node)) return reply({ kind: 'refused', busy: false });
     if (op.kind === 'list' && op.prefix === this.unreadable) return reply({ kind: 'refused', busy: true });
     if (op.kind === 'get' && this.unread !== null && op.key.startsWith(this.unread))
@@ -67,7 +61,7 @@
 
   private expire(): void {
     if (this.down) return;
-    for (const [id, h] of this.holds) if (h.ends < this.world.now) this.endHold(id);
+    for (const [id, h] of this.holds) if (h.ends < this.place.now) this.endHold(id);
   }
 
   private endHold(id: number): void {
@@ -80,6 +74,8 @@
   }
 
   private wake(): void {
+    const over = this.log.length - KEPT_CHANGES;
+    if (over > KEPT_CHANGES) this.forgotten = this.log.splice(0, over).at(-1)!.revision;
     this.watches = this.watches.filter((w) => !w());
   }
 
@@ -105,15 +101,15 @@
       }
       case 'grant': {
         const id = this.nextHold++;
-        this.holds.set(id, { ttl: op.ttlMs, ends: this.world.now + op.ttlMs });
-        this.world.after(op.ttlMs + 50, () => this.poll());
+        this.holds.set(id, { ttl: op.ttlMs, ends: this.place.now + op.ttlMs });
+        this.place.after(op.ttlMs + 50, () => this.poll());
         return { kind: 'granted', hold: id as HoldId };
       }
       case 'extend': {
         const h = this.holds.get(op.hold);
         if (h === undefined) return { kind: 'missing' };
-        h.ends = this.world.now + h.ttl;
-        this.world.after(h.ttl + 50, () => this.poll());
+        h.ends = this.place.now + h.ttl;
+        this.place.after(h.ttl + 50, () => this.poll());
         return { kind: 'ok' };
       }
       case 'revoke':
@@ -156,10 +152,11 @@
   }
 
   private watch(op: Extract<StateOp, { kind: 'watch' }>, reply: (r: StateReply) => void): void {
-    const ends = this.world.now + op.waitMs;
+    if (op.after < this.forgotten) return reply({ kind: 'too-old' });
+    const ends = this.place.now + op.waitMs;
     const look = (): boolean => {
       const news = this.log.filter((l) => l.revision > op.after && l.key.startsWith(op.prefix));
-      if (this.down || (news.length === 0 && this.world.now < ends)) return false;
+      if (this.down || (news.length === 0 && this.place.now < ends)) return false;
       const last = new Map(news.map((l) => [l.key, l.item]));
       const puts = [...last.values()].filter((i): i is Item => i !== null);
       const drops = [...last].filter(([, i]) => i === null).map(([k]) => k);
@@ -167,6 +164,6 @@
       return true;
     };
     if (!look()) this.watches.push(look);
-    this.world.after(op.waitMs + 1, () => this.wake());
+    this.place.after(op.waitMs + 1, () => this.wake());
   }
 }
--- a/test/support/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -1,12 +1,13 @@
 // A worker's side of the protocol: reports, tokens, leases, sessions, commands; it checks the rules on every start.
 import type {
   Command,
+  ExitReason,
   ListedMachine,
   Report,
   TaskReport,
   WorkerAnswer,
   WorkerReply,
-} from '../../src/core/model.ts';
+} from '../../../src/core/model.ts';
 import {
   type MachineId,
   splitTask,
@@ -14,8 +15,8 @@
   type Token,
   type TypeName,
   type ZoneName,
-} from '../../src/types/index.ts';
-import type { World } from './world.ts';
+} from '../../../src/types/index.ts';
+import type { Work, WorkerPlace } from './place.ts';
 
 interface Running {
   task: TaskId;
@@ -24,11 +25,14 @@
   state: TaskReport['state'];
   why: TaskReport['why'];
   saved: boolean;
+  work: Work | null;
 }
 const WAIT_MS = 4000;
 
 export class FakeWorker {
-  readonly addr: string;
+  addr: string;
+  /** When it was rented. */
+  private readonly since: number;
   session = 1;
   seq = 0;
   token = 0;
@@ -44,7 +48,6 @@
   moves = 0;
   /** Stop commands for tasks that ran. */
   readonly stops: { task: TaskId; graceS: number; at: number }[] = [];
-  private target: number;
   private inFlight = false;
   private leaseFrom = 0;
   private reportNo = 0;
@@ -52,17 +55,18 @@
   private lastReport = 0;
 
   constructor(
-    private readonly world: World,
+    private readonly place: WorkerPlace,
     readonly id: MachineId,
     readonly type: TypeName,
     readonly zone: ZoneName,
     readonly spot: boolean,
+    private target: number,
   ) {
     this.addr = `10.1.0.1:${id}`;
-    this.target = world.spread ? world.workers.size % 3 : 0;
+    this.since = place.now;
   }
 
-  listed(): ListedMachine {
+  listed(now: number): ListedMachine {
     return {
       id: this.id,
       addr: this.addr,
@@ -70,12 +74,12 @@
       zone: this.zone,
       spot: this.spot,
       status: this.up ? 'running' : 'booting',
-      ageS: 1,
+      ageS: Math.max(1, (now - this.since) / 1000),
     };
   }
   /** The node that it reports to. */
   get node(): string {
-    return `node-${this.target}`;
+    return this.place.nodeNames[this.target]!;
   }
   live(): Running[] {
     return [...this.tasks.values()].filter((t) => t.state !== 'exited');
@@ -83,28 +87,35 @@
   boot(): void {
     if (this.dead) return;
     this.up = true;
-    this.leaseFrom = this.world.now;
+    this.leaseFrom = this.place.now;
     this.loop();
   }
   die(): void {
+    if (this.dead) return;
     this.dead = true;
+    this.drop();
+    this.place.gone(this);
+  }
+
+  private drop(): void {
+    for (const t of this.tasks.values()) if (t.state !== 'exited') t.work?.kill();
     this.tasks.clear();
   }
 
   private loop(): void {
     if (this.dead) return;
     const due =
-      this.world.now - this.lastReport >= this.world.reportMs ||
-      (this.changed && this.world.now - this.lastReport >= 500);
-    if (this.world.now - this.leaseFrom > 10_000) this.newSession();
+      this.place.now - this.lastReport >= this.place.reportMs ||
+      (this.changed && this.place.now - this.lastReport >= 500);
+    if (this.place.now - this.leaseFrom > this.place.leaseMs) this.newSession();
     if (!this.inFlight && due) this.reportNow();
-    this.world.after(100, () => this.loop());
+    this.place.after(100, () => this.loop());
   }
 
   private newSession(): void {
     this.session++;
-    this.tasks.clear();
-    this.leaseFrom = this.world.now;
+    this.drop();
+    this.leaseFrom = this.place.now;
     this.changed = true;
   }
 
@@ -132,50 +143,36 @@
   }
 
   private reportNow(): void {
-    const name = `node-${this.target}`;
     const no = ++this.reportNo;
     const session = this.session;
-    const sentAt = this.world.now;
+    const sentAt = this.place.now;
     this.inFlight = true;
     this.changed = false;
     this.lastReport = sentAt;
     const r = this.report();
-    this.world.call<WorkerAnswer>(
-      this.id,
-      name,
-      WAIT_MS,
-      (reply) => {
-        // Nobody listens there: the connection is refused.
-        if (!this.world.nodes.has(name)) return reply(null as never);
-        this.world.request(
-          name,
-          (req) => ({ kind: 'report', req, report: r }),
-          (a: WorkerAnswer) => reply(a),
-        );
-      },
-      (a) => {
-        if (no !== this.reportNo || this.dead) return;
-        this.inFlight = false;
-        if (a === null) this.moveOn();
-        else if (a.kind === 'elsewhere') this.follow(a.node);
-        else if (session === this.session && a.token >= this.token) {
-          this.see(a.token);
-          this.leaseFrom = Math.max(this.leaseFrom, sentAt);
-          for (const c of a.commands) this.execute(c);
-        }
-      },
-    );
+    this.place.sendReport(this, this.node, r, WAIT_MS, (a: WorkerAnswer | null) => {
+      if (no !== this.reportNo || this.dead) return;
+      this.inFlight = false;
+      if (a === null) this.moveOn();
+      else if (a.kind === 'elsewhere') this.follow(a.node);
+      else if (session === this.session && a.token >= this.token) {
+        this.see(a.token);
+        this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+        for (const c of a.commands) this.execute(c);
+      }
+    });
   }
 
   private moveOn(): void {
     this.moves++;
-    this.target = (this.target + 1) % 3;
-    this.lastReport = this.world.now;
+    this.target = (this.target + 1) % this.place.nodeNames.length;
+    this.lastReport = this.place.now;
   }
   private follow(node: string | null): void {
-    if (node === null || node === `node-${this.target}`) return this.moveOn();
+    const i = this.place.nodeNames.indexOf(node ?? '');
+    if (i < 0 || i === this.target) return this.moveOn();
     this.moves++;
-    this.target = Number(node.slice(5));
+    this.target = i;
     this.changed = true;
   }
   private see(token: number): void {
@@ -200,66 +197,48 @@
       if (t?.state === 'exited') this.tasks.delete(key);
     } else if (c.op === 'stop') {
       if (t !== undefined && t.state !== 'exited') {
-        this.stops.push({ task: c.task, graceS: c.graceS, at: this.world.now });
-        this.exit(t, 'stopped');
+        this.stops.push({ task: c.task, graceS: c.graceS, at: this.place.now });
+        this.stop(t, c.graceS);
       }
     } else if (t === undefined) this.startTask(c.task, c.attempt, key);
     this.changed = true;
   }
 
+  private stop(t: Running, graceS: number): void {
+    // Told once more while it saves, it is ended.
+    if (t.state === 'saving' && graceS > 0) return;
+    t.state = 'saving';
+    t.work?.stop(graceS, (saved) => {
+      if (t.state === 'exited') return;
+      t.saved = saved;
+      this.exit(t, 'stopped');
+    });
+  }
+
   private startTask(task: TaskId, attempt: number, key: string): void {
     const job = splitTask(task).job;
-    const t: Running = { task, job, attempt, state: 'running', why: null, saved: false };
-    this.check(task, job);
+    const t: Running = { task, job, attempt, state: 'running', why: null, saved: false, work: null };
+    this.place.placed(this, task);
     this.starts++;
     this.tasks.set(key, t);
-    const spec = this.world.jobs.get(job)?.spec;
-    if (this.faulty) this.exit(t, 'error');
-    else if (this.results.has(task)) this.exit(t, 'done');
-    else if (spec?.kind !== 'service')
-      this.world.after(this.world.runS * 1000, () => {
-        if (this.dead || this.tasks.get(key) !== t || t.state === 'exited') return;
-        this.results.add(task);
-        this.exit(t, 'done');
-      });
+    if (this.faulty) return this.exit(t, 'error');
+    if (this.results.has(task)) return this.exit(t, 'done');
+    const isOver = (): boolean => this.dead || this.tasks.get(key) !== t || t.state === 'exited';
+    const end = (why: ExitReason): void => {
+      if (isOver()) return;
+      if (why === 'done') this.results.add(task);
+      this.exit(t, why);
+    };
+    t.work = this.place.launch(this, task, attempt, end, (state) => {
+      if (isOver() || t.state === 'saving') return;
+      t.state = state;
+      this.changed = true;
+    });
   }
 
-  private exit(t: Running, why: NonNullable<TaskReport['why']>): void {
+  private exit(t: Running, why: ExitReason): void {
     t.state = 'exited';
     t.why = why;
     this.changed = true;
   }
-
-  /** The rules that a start can break. */
-  private check(task: TaskId, job: string): void {
-    const { world } = this;
-    const fault = (what: string) =>
-      world.broken.push(`${(world.now / 1000).toFixed(2)} ${what}: ${task} on ${this.id}`);
-    for (const w of world.workers.values())
-      if (w.live().some((t) => t.task === task)) fault(`ran_twice with ${w.id}`);
-    const j = world.jobs.get(job);
-    if (j === undefined) return void fault('unknown job');
-    if (j.cancelledAt !== null && world.now > j.cancelledAt + 40_000) fault('ran_cancelled');
-    const { spec } = j;
-    for (const id of spec.awaits ?? []) if (!world.doneOnRecord(id)) fault(`too_early for ${id}`);
-    if ((spec.types !== null && !spec.types.includes(this.type)) || (this.spot && !spec.spot))
-      fault('wrong_place');
-    if (spec.zone !== null && spec.zone !== this.zone) fault('wrong_place');
-    const zones = [...world.workers.values()].flatMap((w) =>
-      w
-        .live()
-        .filter((t) => t.job === job)
-        .map(() => w.zone),
-    );
-    if (spec.oneZone && zones.some((z) => z !== this.zone)) fault('wrong_place');
-    if (spec.spread && zones.filter((z) => z === this.zone).length >= Math.ceil(spec.tasks / 2))
-      fault('wrong_place');
-    const used = [...world.workers.values()]
-      .flatMap((w) => w.live())
-      .reduce((n, t) => {
-        const s = world.jobs.get(t.job)?.spec;
-        return s?.team === spec.team ? n + s.cpus : n;
-      }, spec.cpus);
-    if (spec.team === 'small' && used > 6) fault(`quota ${used}`);
-  }
 }
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,13 +15,15 @@
   // Loaded only when an HCL file is given: the parser is several megabytes.
   external: ['./hcl-parser.js'],
 });
-await build({
-  ...common,
-  banner,
-  minifySyntax: true,
-  minifyWhitespace: true,
-  entryPoints: ['src/cli/client-commands.ts'],
-  outfile: 'target/client-commands.js',
-  external: ['./hcl-parser.js'],
-});
+// What operators and users run beside the controllers, which do not load it.
+for (const name of ['client-commands', 'lab-command'])
+  await build({
+    ...common,
+    banner,
+    minifySyntax: true,
+    minifyWhitespace: true,
+    entryPoints: [`src/cli/${name}.ts`],
+    outfile: `target/${name}.js`,
+    external: ['./hcl-parser.js'],
+  });
 await build({ ...common, banner, entryPoints: ['src/cli/hcl-parser.js'], outfile: 'target/hcl-parser.js' });
--- a/scripts/drill/run.ts
+++ b/scripts/drill/run.ts
@@ -1,5 +1,6 @@
 // npm run drill -- NAME: long measurements, kept out of the tests. Each ends with one line of figures and an exit code.
 const DRILLS: Record<string, string> = {
+  client: 'one outcome a job, with script, controllers and machines killed in a lab',
   hotpath: 'processor time of the core by input, against an earlier version',
 };
 const [name, ...rest] = process.argv.slice(2);
--- a/src/cli/client-commands.ts
+++ b/src/cli/client-commands.ts
@@ -1,16 +1,24 @@
 // `swiftford submit`, `run`, `watch` and `cancel`: the client library on the command line.
 import { readFileSync } from 'node:fs';
 import { SingleBar } from 'cli-progress';
-import { BadRequest, Client, type JobState, type Outcome } from '../../packages/client/src/index.ts';
+import {
+  BadRequest,
+  Client,
+  type ClientOptions,
+  type JobState,
+  type Outcome,
+} from '../../packages/client/src/index.ts';
 import { isJobId } from '../protocol/job.ts';
 import { BadSettings } from '../protocol/settings.ts';
 import { type FileJob, readJobs } from './job-file.ts';
+import { askLab } from './lab-client.ts';
 
 /** Documented in docs/client.md; of several jobs the highest counts. */
 export const EXIT = { done: 0, trouble: 1, usage: 2, cancelled: 3, refused: 4, gaveUp: 5 } as const;
 
 export interface ClientFlags {
-  node: string[];
+  node?: string[];
+  lab?: string | true;
   outbox?: string;
   wait?: boolean;
   json?: boolean;
@@ -50,17 +58,51 @@
   print(`${id}${name === null ? '' : `  ${name}`}  ${what}`);
 }
 
+/** The nodes that are named, or those of the lab. */
+async function nodesOf(f: ClientFlags): Promise<string[]> {
+  if (f.node !== undefined) return f.node;
+  if (f.lab === undefined) throw new BadSettings('name the nodes with --node, or use --lab');
+  const { controllers } = (await askLab(f.lab, 'GET', '/lab')) as { controllers: { addr: string }[] };
+  return controllers.map((c) => c.addr);
+}
+
+/** A job's tasks are told what to run before it is submitted. */
+function uploads(f: ClientFlags, jobs: readonly FileJob[]): ClientOptions['prepare'] | null {
+  const { lab } = f;
+  if (lab === undefined) {
+    const with_ = jobs.find((j) => j.command !== null);
+    if (with_ !== undefined) throw new BadSettings(`${with_.name}: a command is run by a lab only (--lab)`);
+    return null;
+  }
+  return async (id, r, key) => {
+    const job = jobs.find((j) => key === j.key || key?.endsWith(`/${j.name}`));
+    await askLab(lab, 'PUT', `/jobs/${id}`, {
+      kind: r.kind ?? 'array',
+      tasks: r.tasks ?? 1,
+      image: r.image,
+      imageGb: r.imageGb,
+      runS: r.estimateS,
+      command: job?.command ?? null,
+    });
+  };
+}
+
 /** Runs with a client, which is closed on every way out; Ctrl-C ends the waiting and leaves the jobs as they are. */
 async function withClient(
   f: ClientFlags,
   run: (c: Client, signal: AbortSignal) => Promise<number>,
+  prepare: ClientOptions['prepare'] | null = null,
 ): Promise<void> {
   const stop = new AbortController();
   const onInt = (): void => stop.abort(new DOMException('stopped; jobs that were sent go on', 'AbortError'));
   process.once('SIGINT', onInt);
   let client: Client | null = null;
   try {
-    client = await Client.open({ nodes: f.node, ...(f.outbox === undefined ? {} : { outbox: f.outbox }) });
+    client = await Client.open({
+      nodes: await nodesOf(f),
+      ...(f.outbox === undefined ? {} : { outbox: f.outbox }),
+      ...(prepare === null ? {} : { prepare }),
+    });
     if (client.torn !== null)
       process.stderr.write(
         `swiftford: ${f.outbox}: an unfinished record at byte ${client.torn.offset} was cut off\n`,
@@ -97,42 +139,47 @@
   };
   const options = Object.fromEntries(Object.entries(times).filter(([, v]) => v !== undefined));
   const wait = f.wait === true || pipeline;
-  await withClient(f, async (client, signal) => {
-    const bar =
-      f.json || !process.stderr.isTTY
-        ? null
-        : new SingleBar({ format: '{bar} {value}/{total} jobs', hideCursor: true });
-    bar?.start(jobs.length, 0);
-    let code = 0;
-    const end = (name: string, id: string, o: Outcome | null): void => {
-      code = Math.max(code, codeOf(o));
-      if (bar === null) say(name, id, o, f.json === true);
-      bar?.increment();
-    };
-    const bad: { name: string; id: string; outcome: Outcome }[] = [];
-    const note = (j: FileJob, id: string, o: Outcome | null): void => {
-      if (o !== null && o.kind !== 'done') bad.push({ name: j.name, id, outcome: o });
-      end(j.name, id, o);
-    };
-    try {
-      if (pipeline) {
-        const named = Object.fromEntries(jobs.map((j) => [j.name, j.request]));
-        const keys = jobs.map((j) => j.key).join('');
-        const outcomes = await client.pipeline(named, { ...options, key: keys, signal });
-        for (const j of jobs) note(j, outcomes[j.name]!.id, outcomes[j.name]!);
-      } else
-        await Promise.all(
-          jobs.map(async (j) => {
-            const s = await client.submit(j.request, { ...options, key: j.key, signal });
-            note(j, s.id, s.outcome ?? (wait ? await client.wait(s.id, { signal }) : null));
-          }),
-        );
-    } finally {
-      bar?.stop();
-    }
-    if (bar !== null) for (const b of bad) say(b.name, b.id, b.outcome, false);
-    return code;
-  });
+  const prepare = uploads(f, jobs);
+  await withClient(
+    f,
+    async (client, signal) => {
+      const bar =
+        f.json || !process.stderr.isTTY
+          ? null
+          : new SingleBar({ format: '{bar} {value}/{total} jobs', hideCursor: true });
+      bar?.start(jobs.length, 0);
+      let code = 0;
+      const end = (name: string, id: string, o: Outcome | null): void => {
+        code = Math.max(code, codeOf(o));
+        if (bar === null) say(name, id, o, f.json === true);
+        bar?.increment();
+      };
+      const bad: { name: string; id: string; outcome: Outcome }[] = [];
+      const note = (j: FileJob, id: string, o: Outcome | null): void => {
+        if (o !== null && o.kind !== 'done') bad.push({ name: j.name, id, outcome: o });
+        end(j.name, id, o);
+      };
+      try {
+        if (pipeline) {
+          const named = Object.fromEntries(jobs.map((j) => [j.name, j.request]));
+          const keys = jobs.map((j) => j.key).join('');
+          const outcomes = await client.pipeline(named, { ...options, key: keys, signal });
+          for (const j of jobs) note(j, outcomes[j.name]!.id, outcomes[j.name]!);
+        } else
+          await Promise.all(
+            jobs.map(async (j) => {
+              const s = await client.submit(j.request, { ...options, key: j.key, signal });
+              note(j, s.id, s.outcome ?? (wait ? await client.wait(s.id, { signal }) : null));
+            }),
+          );
+      } finally {
+        bar?.stop();
+      }
+      if (bar !== null) for (const b of bad) say(b.name, b.id, b.outcome, false);
+      return code;
+    },
+    prepare,
+  );
 }
 
 /** One job given by its fields on the command line or a file with one job; waits for its end. */
--- a/src/cli/job-file.ts
+++ b/src/cli/job-file.ts
@@ -10,6 +10,8 @@
   /** The same for the same job of the same file, however often it is read; another one when the job is edited. */
   key: string;
   request: JobRequest;
+  /** What its tasks run in a lab: program and arguments. */
+  command: string[] | null;
 }
 
 /** `awaits` that name jobs of the file are theirs; `pipeline` says whether there are any. */
@@ -28,20 +30,35 @@
     if (typeof fields !== 'object' || fields === null || Array.isArray(fields))
       throw new BadSettings(`${file}: ${name}: a job is an object`);
     // A named job keeps its name, so that others can await it by it.
-    const { name: _, ...request } = fields as Fields;
+    const { name: _, command: given, ...request } = fields as Fields;
+    const command = commandOf(file, name, given);
     const hash = createHash('sha256')
-      .update(JSON.stringify([name, request]))
+      .update(JSON.stringify([name, request, command]))
       .digest('hex')
       .slice(0, 16);
     const nth = seen.get(hash) ?? 0;
     seen.set(hash, nth + 1);
-    return { name, key: nth === 0 ? hash : `${hash}.${nth}`, request: request as unknown as JobRequest };
+    return {
+      name,
+      key: nth === 0 ? hash : `${hash}.${nth}`,
+      request: request as unknown as JobRequest,
+      command,
+    };
   });
   const names = new Set(jobs.map((j) => j.name));
   if (names.size < jobs.length) throw new BadSettings(`${file}: two jobs have the same name`);
   return { jobs, pipeline: jobs.some((j) => j.request.awaits?.some((a) => names.has(a))) };
 }
 
+function commandOf(file: string, name: string, given: unknown): string[] | null {
+  if (given === undefined || given === null) return null;
+  if (typeof given === 'string') return ['/bin/sh', '-c', given];
+  if (Array.isArray(given) && given.length > 0 && given.every((x) => typeof x === 'string')) return given;
+  throw new BadSettings(
+    `${file}: ${name}: command is a line for the shell, or a list of program and arguments`,
+  );
+}
+
 interface Named {
   name: string;
   fields: unknown;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -127,7 +127,11 @@
 type ClientCommands = typeof import('./client-commands.ts');
 const asClient = (c: Command, name: 'submit' | 'run' | 'watch' | 'cancel'): Command =>
   c
-    .requiredOption('-n, --node <address...>', 'nodes or their load balancer (10.0.0.1:8080)')
+    .option('-n, --node <address...>', 'nodes or their load balancer (10.0.0.1:8080)')
+    .option(
+      '--lab [address]',
+      'the nodes of a lab on this machine (127.0.0.1:7070), which runs what `command` says',
+    )
     .option('--json', 'one line of JSON for each job')
     .option('--within <seconds>', 'give up after so long; the job itself goes on')
     .action(
@@ -149,4 +153,41 @@
 asClient(program.command('watch <id>').description('show the states of a job until it ends'), 'watch');
 asClient(program.command('cancel <id>').description('cancel a job and tell how it ended'), 'cancel');
 
+const LAB = './lab-command.js';
+type LabCommands = typeof import('./lab-command.ts');
+const inLab =
+  <A extends unknown[]>(run: (c: LabCommands, ...args: A) => Promise<void>) =>
+  async (...args: A): Promise<void> => {
+    try {
+      await run((await import(LAB)) as LabCommands, ...args);
+    } catch (e) {
+      fail(e);
+    }
+  };
+program
+  .command('lab')
+  .description('bring up a whole cluster on this machine, until Ctrl-C')
+  .option('--options <file>', 'what it is like (HCL; deploy/lab.hcl)')
+  .option('--port <port>', 'port of the lab itself; 0 for a free one (7070)')
+  .option('--dir <dir>', 'keep settings, logs and output there')
+  .action(inLab((c, f: Parameters<LabCommands['lab']>[0]) => c.lab(f, readText)));
+program
+  .command('fault <kind>')
+  .description(
+    'kill-controller, freeze-controller, state-outage, state-silent, cloud-outage, machine-death, spot-wave, zone-cut',
+  )
+  .option('--lab [address]', 'address of the lab')
+  .option('--seconds <n>', 'how long, or how much notice (10)')
+  .option('--count <n>', 'how many machines (1)')
+  .option('--name <controller>', 'which controller; by default any')
+  .option('--zone <zone>', 'which zone')
+  .action(inLab((c, kind: string, f: Parameters<LabCommands['fault']>[1]) => c.fault(kind, f)));
+program
+  .command('logs <id>')
+  .description("a task's output in a lab")
+  .option('--lab [address]', 'address of the lab')
+  .option('--task <index>', 'which task', '0')
+  .option('--stderr', 'what it wrote to standard error')
+  .action(inLab((c, id: string, f: Parameters<LabCommands['logs']>[1]) => c.logs(id, f)));
+
 program.parseAsync();
--- a/src/protocol/worker.ts
+++ b/src/protocol/worker.ts
@@ -3,14 +3,14 @@
 import type { Attempt, MachineId, TaskId, Token, TypeName, ZoneName } from '../types/index.ts';
 import { amount, asObject, count, flag, InvalidMessage, optional, text } from './job.ts';
 
-const STATES: Record<string, TaskState> = {
+export const STATES: Record<string, TaskState> = {
   pulling: 'fetching',
   waiting: 'waiting',
   running: 'running',
   flushing: 'saving',
   ended: 'exited',
 };
-const REASONS: Record<string, ExitReason> = {
+export const REASONS: Record<string, ExitReason> = {
   done: 'done',
   halted: 'stopped',
   peers: 'peers',
--- /dev/null
+++ b/test/lab.test.ts
@@ -0,0 +1,186 @@
+// A cluster on one machine: real controllers, stand-ins on sockets, commands as child processes.
+import assert from 'node:assert/strict';
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Client } from '../packages/client/src/index.ts';
+import { Lab, readLabOptions } from '../packages/lab/src/index.ts';
+import { Tasks } from '../packages/lab/src/tasks.ts';
+import { BadSettings } from '../src/protocol/settings.ts';
+import type { TaskId } from '../src/types/index.ts';
+
+const dir = mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
+test.after(() => rmSync(dir, { recursive: true, force: true }));
+
+const exists = (pid: number): boolean => {
+  try {
+    process.kill(pid, 0);
+    return true;
+  } catch {
+    return false;
+  }
+};
+const eventually = async (what: () => boolean, ms = 20_000): Promise<void> => {
+  for (const end = Date.now() + ms; !what() && Date.now() < end; )
+    await new Promise((r) => setTimeout(r, 20));
+  assert.ok(what());
+};
+
+test('a command runs in a lab through the end of a controller, once, with its output kept, and nothing is left', async () => {
+  const lab = await Lab.start(
+    readLabOptions('t', {
+      lab: [{ port: 0, speed: 20 }],
+      workers: [{ report_s: 0.5 }],
+      cloud: [{ list_lag_s: 0 }],
+    }),
+    { program: [process.execPath, 'target/main.js'], dir: join(dir, 'lab'), log: () => {} },
+  );
+  const pids: number[] = lab.controllers.map((c) => c.process!.pid!);
+  try {
+    await lab.ready();
+    const file = join(dir, 'job.json');
+    const base = { team: 'demo', class: 'x', cpus: 1, memoryGb: 1, image: 'i', imageGb: 1, estimateS: 1 };
+    const count = join(dir, 'count');
+    writeFileSync(
+      file,
+      JSON.stringify([
+        {
+          ...base,
+          name: 'first',
+          tasks: 3,
+          command: `echo $SWIFTFORD_TASK of $SWIFTFORD_TASKS; echo x >> ${count}; sleep 2`,
+        },
+        {
+          ...base,
+          name: 'gang',
+          kind: 'gang',
+          tasks: 2,
+          command: 'echo $SWIFTFORD_PEERS | tr : "\\n" | wc -l',
+        },
+        { ...base, name: 'last', awaits: ['first'], command: ['sh', '-c', `wc -l < ${count}`] },
+      ]),
+    );
+    const child = spawn(process.execPath, ['target/main.js', 'run', file, '--lab', lab.addr, '--json']);
+    let out = '';
+    child.stdout.on('data', (d) => {
+      out += d;
+    });
+    const ended = new Promise<number | null>((r) => child.once('exit', (code) => r(code)));
+    await eventually(() => lab.runs.length >= 3);
+    lab.fault({ kind: 'kill-controller' });
+    assert.equal(await ended, 0, out);
+    await eventually(() => lab.controllers.every((c) => c.process !== null));
+    pids.push(...lab.controllers.map((c) => c.process!.pid!));
+    const ids = new Map(
+      out
+        .trim()
+        .split('\n')
+        .map((l) => [JSON.parse(l).name, JSON.parse(l).id]),
+    );
+    const read = (name: string, task: number): string =>
+      readFileSync(
+        join(
+          dir,
+          'lab/jobs',
+          ids.get(name),
+          `${task}.${lab.runs.find((r) => r.task === `${ids.get(name)}/${task}`)!.attempt}/stdout`,
+        ),
+        'utf8',
+      ).trim();
+    assert.equal(read('first', 2), '2 of 3');
+    assert.equal(read('gang', 1), '2');
+    assert.equal(read('last', 0), '3', 'each task ran once, and before what awaits it');
+    assert.equal((lab.recorded(`f/${ids.get('last')}`) as { s: string }).s, 'done');
+  } finally {
+    await lab.stop();
+  }
+  for (const pid of pids) assert.ok(!exists(pid), `${pid} is left`);
+});
+
+test('a lab that is killed leaves no controllers and no commands behind', async () => {
+  const port = 20_000 + (process.pid % 20_000);
+  const child: ChildProcess = spawn(
+    process.execPath,
+    ['target/main.js', 'lab', '--port', String(port), '--dir', join(dir, 'k')],
+    {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    },
+  );
+  let out = '';
+  child.stdout!.on('data', (d) => {
+    out += d;
+  });
+  await eventually(() => /node-2 {2}\S+/.test(out));
+  const nodes = [...out.matchAll(/node-\d {2}(\S+)/g)].map((m) => m[1]!);
+  child.kill('SIGKILL');
+  const client = await Client.open({ nodes });
+  const request = { team: 'demo', class: 'x', cpus: 1, memoryGb: 1, image: 'i', imageGb: 1, estimateS: 1 };
+  const o = await client.run(request, { acceptWithinS: 3 });
+  assert.ok(
+    o.kind === 'gave-up' && o.accepted === null && /did not answer/.test(o.reason),
+    JSON.stringify(o),
+  );
+  await client.close();
+});
+
+test('gangs begin together, complete together and notice a loss; images are fetched once; a stopped command has saved or not', async () => {
+  let now = 0;
+  const due: { at: number; run: () => void }[] = [];
+  const clock = {
+    get now() {
+      return now;
+    },
+    after: (ms: number, run: () => void) => void due.push({ at: now + ms, run }),
+  };
+  const pass = (ms: number): void => {
+    for (const end = now + ms; now < end; now += 100)
+      for (const d of due.filter((x) => x.at <= now)) {
+        due.splice(due.indexOf(d), 1);
+        d.run();
+      }
+  };
+  const tasks = new Tasks(clock, dir, null as never, { speed: 1, gangWaitS: 20, gangPeerS: 4 });
+  tasks.describe('run-g', { kind: 'gang', tasks: 2, image: 'i', imageGb: 4, runS: 10, command: null });
+  tasks.describe('run-a', { kind: 'array', tasks: 9, image: 'i', imageGb: 4, runS: 10, command: null });
+  const log: string[] = [];
+  const launch = (task: string, attempt: number, machine: string) =>
+    tasks.launch(
+      { id: machine, fetchGbPerS: 1, cacheGb: 10 },
+      task as TaskId,
+      attempt,
+      (why) => log.push(`${task} ${why}`),
+      (s) => log.push(`${task} ${s}`),
+    );
+  launch('run-g/0', 1, 'm1');
+  pass(5000);
+  assert.deepEqual(log.splice(0), ['run-g/0 fetching', 'run-g/0 waiting']);
+  launch('run-g/1', 1, 'm1');
+  assert.deepEqual(log.splice(0), ['run-g/1 waiting', 'run-g/0 running', 'run-g/1 running']);
+  pass(11_000);
+  assert.deepEqual(log.splice(0).sort(), ['run-g/0 done', 'run-g/1 done']);
+  tasks.describe('run-h', { kind: 'gang', tasks: 2, image: 'i', imageGb: 4, runS: 10, command: null });
+  const a = launch('run-h/0', 1, 'm1');
+  launch('run-h/1', 1, 'm1');
+  a.kill();
+  pass(4000);
+  assert.deepEqual(log.splice(0).at(-1), 'run-h/1 peers');
+  launch('run-h/0', 2, 'm1');
+  pass(21_000);
+  assert.deepEqual(log.splice(0), ['run-h/0 waiting', 'run-h/0 alone']);
+  const saved: boolean[] = [];
+  const b = launch('run-a/0', 1, 'm1');
+  b.stop(5, (s) => saved.push(s));
+  pass(15_000);
+  assert.deepEqual([saved, log.splice(0)], [[false], ['run-a/0 running']]);
+});
+
+test('what a lab is like is checked with names and bounds', () => {
+  assert.throws(
+    () => readLabOptions('f.hcl', { lab: [{ sped: 2 }] }),
+    (e) => e instanceof BadSettings && /f.hcl: lab.sped: unknown name/.test(e.message),
+  );
+  assert.throws(() => readLabOptions('f.hcl', { type: { x: [{ cpus: -1, memory_gb: 1 }] } }), /type.x.cpus/);
+  assert.equal(readLabOptions('f', { team: { a: [{ cpus_max: 3 }] } }).teams.a?.cpus_max, 3);
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -1,31 +1,38 @@
 // A small world in memory: state service, cloud, workers and controllers on one simulated clock, joined by
 // a network that can delay, hold, drop and cut. It checks the users' rules while it runs.
+
+import { FakeCloud } from '../../packages/lab/src/cloud.ts';
+import type { CloudPlace, Work, WorkerPlace } from '../../packages/lab/src/place.ts';
+import { FakeState } from '../../packages/lab/src/state.ts';
+import { FakeWorker } from '../../packages/lab/src/worker.ts';
 import { Controller } from '../../src/core/controller.ts';
 import type { Effect, Input } from '../../src/core/io.ts';
 import type {
   CloudReply,
   JobSpec,
   PeerMessage,
+  Report,
   Settings,
   StateOp,
+  StateReply,
   UserAnswer,
   UserRequest,
+  WorkerAnswer,
   WorkerReply,
 } from '../../src/core/model.ts';
 import { seeded } from '../../src/runtime/random.ts';
-import type {
-  Instant,
-  JobId,
-  MachineId,
-  NodeId,
-  TeamName,
-  TypeName,
-  WallTime,
-  ZoneName,
+import {
+  type Instant,
+  type JobId,
+  type MachineId,
+  type NodeId,
+  splitTask,
+  type TaskId,
+  type TeamName,
+  type TypeName,
+  type WallTime,
+  type ZoneName,
 } from '../../src/types/index.ts';
-import { FakeCloud } from './cloud.ts';
-import { FakeState } from './state.ts';
-import { FakeWorker } from './worker.ts';
 
 type Cut = 'drop' | 'hold';
 
@@ -118,12 +125,14 @@
   }
 }
 
-export class World {
+export class World implements CloudPlace, WorkerPlace {
   now = 0;
   readonly state = new FakeState(this);
   readonly cloud = new FakeCloud(this);
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes = new Map<string, Controller>();
+  readonly nodeNames = ['node-0', 'node-1', 'node-2'];
+  readonly leaseMs = 10_000;
   readonly jobs = new Map<string, { spec: JobSpec; cancelledAt: number | null }>();
   readonly broken: string[] = [];
   readonly logs: string[] = [];
@@ -251,8 +260,12 @@
     };
     switch (e.kind) {
       case 'state':
-        return this.state.call(name, e.op, e.timeoutMs, (reply) =>
-          give({ kind: 'state', tag: e.tag, reply }),
+        return this.call<StateReply>(
+          name,
+          'state',
+          e.timeoutMs,
+          (reply) => this.state.serve(name, e.op, reply),
+          (r) => give({ kind: 'state', tag: e.tag, reply: r ?? { kind: 'no-answer' } }),
         );
       case 'cloud':
         return this.call<CloudReply>(
@@ -361,10 +374,80 @@
   // ---- machines
 
   machine(id: string, type: TypeName, zone: ZoneName, spot: boolean): FakeWorker {
-    const w = new FakeWorker(this, id as MachineId, type, zone, spot);
+    const w = new FakeWorker(
+      this,
+      id as MachineId,
+      type,
+      zone,
+      spot,
+      this.spread ? this.workers.size % 3 : 0,
+    );
     this.workers.set(id, w);
     return w;
   }
+  sendReport(
+    worker: FakeWorker,
+    node: string,
+    report: Report,
+    timeoutMs: number,
+    done: (a: WorkerAnswer | null) => void,
+  ): void {
+    this.call<WorkerAnswer>(
+      worker.id,
+      node,
+      timeoutMs,
+      (reply) => {
+        // Nobody listens there: the connection is refused.
+        if (!this.nodes.has(node)) return reply(null as never);
+        this.request(
+          node,
+          (req) => ({ kind: 'report', req, report }),
+          (a: WorkerAnswer) => reply(a),
+        );
+      },
+      done,
+    );
+  }
+  launch(_worker: FakeWorker, task: TaskId, _attempt: number, end: (why: 'done') => void): Work {
+    if (this.jobs.get(splitTask(task).job)?.spec.kind !== 'service')
+      this.after(this.runS * 1000, () => end('done'));
+    return { stop: (_graceS, ended) => ended(false), kill: () => {} };
+  }
+  gone(): void {}
+
+  /** The rules that a start can break. */
+  placed(worker: FakeWorker, task: TaskId): void {
+    const { job } = splitTask(task);
+    const fault = (what: string) =>
+      this.broken.push(`${(this.now / 1000).toFixed(2)} ${what}: ${task} on ${worker.id}`);
+    for (const w of this.workers.values())
+      if (w.live().some((t) => t.task === task)) fault(`ran_twice with ${w.id}`);
+    const j = this.jobs.get(job);
+    if (j === undefined) return void fault('unknown job');
+    if (j.cancelledAt !== null && this.now > j.cancelledAt + 40_000) fault('ran_cancelled');
+    const { spec } = j;
+    for (const id of spec.awaits ?? []) if (!this.doneOnRecord(id)) fault(`too_early for ${id}`);
+    if ((spec.types !== null && !spec.types.includes(worker.type)) || (worker.spot && !spec.spot))
+      fault('wrong_place');
+    if (spec.zone !== null && spec.zone !== worker.zone) fault('wrong_place');
+    const zones = [...this.workers.values()].flatMap((w) =>
+      w
+        .live()
+        .filter((t) => t.job === job)
+        .map(() => w.zone),
+    );
+    if (spec.oneZone && zones.some((z) => z !== worker.zone)) fault('wrong_place');
+    if (spec.spread && zones.filter((z) => z === worker.zone).length >= Math.ceil(spec.tasks / 2))
+      fault('wrong_place');
+    const used = [...this.workers.values()]
+      .flatMap((w) => w.live())
+      .reduce((n, t) => {
+        const s = this.jobs.get(t.job)?.spec;
+        return s?.team === spec.team ? n + s.cpus : n;
+      }, spec.cpus);
+    if (spec.team === 'small' && used > 6) fault(`quota ${used}`);
+  }
+
   /** Machines that hold a task of the job, in any state but exited. */
   holders(id: string): string[] {
     return [...this.workers.values()].filter((w) => w.live().some((t) => t.job === id)).map((w) => w.id);
