--- a/packages/lab/src/tasks.ts
+++ b/packages/lab/src/tasks.ts
@@ -42,6 +42,8 @@
   finish(why: ExitReason): void;
   kill(): void;
   over: boolean;
+  /** Its command has ended well. */
+  ran: boolean;
 }
 
 interface Gang {
@@ -102,6 +104,7 @@
     const live: Live = {
       run,
       over: false,
+      ran: false,
       begin: () => {
         if (live.over) return;
         is('running');
@@ -112,7 +115,8 @@
         } else
           child = this.start(d, task, attempt, (code) => {
             if (ended !== null) this.stopped(live, ended, false);
-            else live.finish(code === 0 ? 'done' : 'error');
+            else if (code !== 0) live.finish('error');
+            else this.ran(d, live);
           });
       },
       finish: (why) => {
@@ -198,6 +202,14 @@
       });
   }
 
+  /** A gang is complete when the commands of all its tasks are: one that is sooner waits for the others. */
+  private ran(d: Description, live: Live): void {
+    live.ran = true;
+    const gang = this.gangs.get(`${splitTask(live.run.task).job}@${live.run.attempt}`);
+    if (d.kind !== 'gang' || gang === undefined || [...gang.members.values()].every((m) => m.ran))
+      live.finish('done');
+  }
+
   /** A gang completes together, and notices when one of its tasks is gone. */
   private left(d: Description, live: Live, why: ExitReason): void {
     if (d.kind !== 'gang') return;
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -57,7 +57,7 @@
           name: 'gang',
           kind: 'gang',
           tasks: 2,
-          command: 'echo $SWIFTFORD_PEERS | tr : "\\n" | wc -l',
+          command: 'sleep 0.$SWIFTFORD_TASK; echo $SWIFTFORD_PEERS | tr : "\\n" | wc -l',
         },
         { ...base, name: 'last', awaits: ['first'], command: ['sh', '-c', `wc -l < ${count}`] },
       ]),
