--- a/packages/lab/src/cloud.ts
+++ b/packages/lab/src/cloud.ts
@@ -11,7 +11,8 @@
   loseNextAnswer = false;
   readonly hires = new Map<string, MachineId[]>();
   readonly released: string[] = [];
-  private made = 0;
+  /** Machines that were ever rented: names are never used again. */
+  made = 0;
   /** Machines that may be rented of a type, zone and kind, in place of `capacity`. */
   room: ((type: TypeName, zone: ZoneName, spot: boolean) => number) | null = null;
   /** Milliseconds until a machine is up; negative: never. */
--- a/packages/lab/src/lab.ts
+++ b/packages/lab/src/lab.ts
@@ -25,6 +25,7 @@
 import { seeded } from '../../../src/runtime/random.ts';
 import type { Instant, MachineId, TaskId, TypeName, ZoneName } from '../../../src/types/index.ts';
 import { FakeCloud } from './cloud.ts';
+import { Data } from './data.ts';
 import { endGroup, Guard } from './guard.ts';
 import type { LabOptions } from './options.ts';
 import type { CloudPlace, Work, WorkerPlace } from './place.ts';
@@ -38,6 +39,8 @@
   program: string[];
   /** Where settings, logs and what tasks write are put. */
   dir: string;
+  /** Directory in which the state service's records are kept over restarts of the lab. */
+  data?: string;
   log: (line: string) => void;
 }
 
@@ -82,6 +85,7 @@
   private silentUntil = 0;
   private readonly cutUntil = new Map<string, number>();
   private stopping = false;
+  private data: Data | null = null;
   /** Address of the lab itself. */
   addr = '';
 
@@ -139,6 +143,7 @@
   private async begin(): Promise<void> {
     const { dir } = this.setup;
     mkdirSync(dir, { recursive: true });
+    if (this.setup.data !== undefined) await this.remember(this.setup.data);
     const state = await this.serve(0, (m, p, b, a) => this.serveState(m, p, b, a));
     const cloud = await this.serve(0, (m, p, b, a) => this.serveCloud(m, p, b, a));
     const ports: number[] = [];
@@ -161,6 +166,24 @@
     this.addr = (await this.serve(this.options.lab.port, (m, p, b, a) => this.serveLab(m, p, b, a))).addr;
   }
 
+  private async remember(dir: string): Promise<void> {
+    mkdirSync(dir, { recursive: true });
+    const data = await Data.open(dir, (e) => this.setup.log(`records cannot be kept: ${e.message}`));
+    this.data = data;
+    await data.attach(this.state);
+    const { jobs, done } = await data.world();
+    for (const [id, d] of jobs) this.tasks.describe(id, d);
+    for (const t of done) this.tasks.remember(t as TaskId);
+    this.tasks.onDone = (t) => data.done(t);
+    this.cloud.made = await data.reserveNames();
+  }
+
+  /** Answers when what the answer tells of is on disk. */
+  private async whenKept(answer: () => void): Promise<void> {
+    if (this.data !== null) await this.data.kept();
+    if (!this.stopping) answer();
+  }
+
   private settingsOf(
     n: { name: string; location: string; addr: string; peer: string },
     all: { name: string; location: string; peer: string }[],
@@ -255,9 +278,8 @@
     const silent = this.now < this.silentUntil && this.random.below(2) === 0;
     this.state.serve('', op, (r: StateReply) => {
       if (silent) return;
-      this.after(this.options.state.latency_ms, () =>
-        answer(encodeStateReply(op, r, page, this.state.revision)),
-      );
+      const said = encodeStateReply(op, r, page, this.state.revision);
+      this.whenKept(() => this.after(this.options.state.latency_ms, () => answer(said)));
     });
     this.state.served.length = 0;
   }
@@ -268,12 +290,14 @@
     if (!this.budgets.cloud.take(this.now as Instant)) return answer(error(429, 'too many requests'));
     const r: CloudReply = this.cloud.serve(call.op);
     this.cloud.released.length = 0;
-    this.after(this.options.cloud.latency_ms, () => answer(encodeCloudReply(call.op, r, call.page)));
+    const said = encodeCloudReply(call.op, r, call.page);
+    this.whenKept(() => this.after(this.options.cloud.latency_ms, () => answer(said)));
   }
 
   machine(id: MachineId, type: TypeName, zone: ZoneName, spot: boolean): FakeWorker {
     const w = new FakeWorker(this, id, type, zone, spot, this.random.below(this.nodeNames.length));
     this.workers.set(id, w);
+    this.data?.named(this.cloud.made);
     listen(0, (method, path, body, answer) => this.serveWorker(w, method, path, body, answer)).then((l) => {
       w.addr = l.addr;
       if (w.dead || this.stopping) l.close();
@@ -365,7 +389,9 @@
       });
     if (method === 'PUT' && what === 'jobs' && isJobId(id ?? '')) {
       this.tasks.describe(id!, body as Description);
-      return ok({});
+      this.data?.describe(id!, body as Description);
+      this.whenKept(() => ok({}));
+      return;
     }
     if (method === 'GET' && what === 'logs' && isJobId(id ?? '')) {
       const stream = path.endsWith('?stderr') ? 'stderr' : 'stdout';
@@ -479,6 +505,7 @@
     await Promise.all(ended);
     for (const l of this.lines.values()) l.close();
     for (const s of this.serving) s.close();
+    await this.data?.close();
     this.guard.close();
   }
 }
--- a/packages/lab/src/state.ts
+++ b/packages/lab/src/state.ts
@@ -3,10 +3,20 @@
 import type { HoldId, Revision } from '../../../src/types/index.ts';
 import type { Clock } from './place.ts';
 
+export interface Kept {
+  value: unknown;
+  revision: number;
+  hold: number | null;
+}
+/** `kept` or `ttlMs` null: it is gone. */
+export type StateChange =
+  | { key: string; kept: Kept | null; revision: number }
+  | { hold: number; ttlMs: number | null };
+
 const KEPT_CHANGES = 10_000;
 
 export class FakeState {
-  readonly keys = new Map<string, { value: unknown; revision: number; hold: number | null }>();
+  readonly keys = new Map<string, Kept>();
   revision = 0;
   down = false;
   /** Nodes that alone get 503. */
@@ -27,6 +37,8 @@
   private nextHold = 1;
   private log: { key: string; item: Item | null; revision: number }[] = [];
   private watches: (() => boolean)[] = [];
+  /** Hears of every change, in order, before it is answered. */
+  onChange: ((c: StateChange) => void) | null = null;
   /** Changes up to here are no longer kept. */
   private forgotten = 0;
 
@@ -65,11 +77,28 @@
   }
 
   private endHold(id: number): void {
-    this.holds.delete(id);
+    if (this.holds.delete(id)) this.onChange?.({ hold: id, ttlMs: null });
     for (const [key, v] of this.keys) {
       if (v.hold !== id) continue;
       this.keys.delete(key);
-      this.log.push({ key, item: null, revision: ++this.revision });
+      this.changed(key, null, ++this.revision);
+    }
+  }
+
+  private changed(key: string, item: Item | null, revision: number): void {
+    this.log.push({ key, item, revision });
+    this.onChange?.({ key, kept: item === null ? null : this.keys.get(key)!, revision });
+  }
+
+  /** Begins with what an earlier one held, as after an outage: holds have their full time, older watches read again. */
+  restore(revision: number, keys: Iterable<[string, Kept]>, holds: Iterable<[number, number]>): void {
+    this.revision = revision;
+    this.forgotten = revision;
+    for (const [key, kept] of keys) this.keys.set(key, kept);
+    for (const [id, ttl] of holds) {
+      this.holds.set(id, { ttl, ends: this.place.now + ttl });
+      this.nextHold = Math.max(this.nextHold, id + 1);
+      this.place.after(ttl + 50, () => this.poll());
     }
   }
 
@@ -102,6 +131,7 @@
       case 'grant': {
         const id = this.nextHold++;
         this.holds.set(id, { ttl: op.ttlMs, ends: this.place.now + op.ttlMs });
+        this.onChange?.({ hold: id, ttlMs: op.ttlMs });
         this.place.after(op.ttlMs + 50, () => this.poll());
         return { kind: 'granted', hold: id as HoldId };
       }
@@ -144,10 +174,9 @@
         revision: this.revision,
         hold: p.hold ?? null,
       });
-      this.log.push({ key: p.key, item: this.item(p.key), revision: this.revision });
+      this.changed(p.key, this.item(p.key), this.revision);
     }
-    for (const key of op.drops)
-      if (this.keys.delete(key)) this.log.push({ key, item: null, revision: this.revision });
+    for (const key of op.drops) if (this.keys.delete(key)) this.changed(key, null, this.revision);
     return { kind: 'committed', revision: this.revision as Revision };
   }
 
--- a/packages/lab/src/tasks.ts
+++ b/packages/lab/src/tasks.ts
@@ -74,6 +74,14 @@
     this.described.set(job, d);
   }
 
+  /** Of an earlier life: it is not run again. */
+  remember(task: TaskId): void {
+    this.done.add(task);
+  }
+
+  /** Hears of every task that is done, before its worker reports it. */
+  onDone: (task: TaskId) => void = () => {};
+
   logFile(task: TaskId, stream: 'stdout' | 'stderr', attempt?: number): string | null {
     for (let i = this.runs.length - 1; i >= 0; i--) {
       const r = this.runs[i]!;
@@ -122,7 +130,10 @@
       finish: (why) => {
         if (live.over) return;
         this.close(live, why);
-        if (why === 'done') this.done.add(task);
+        if (why === 'done') {
+          this.done.add(task);
+          this.onDone(task);
+        }
         if (child?.pid !== undefined) endGroup(child.pid);
         end(why);
         this.left(d, live, why);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -24,6 +24,7 @@
     minifyWhitespace: true,
     entryPoints: [`src/cli/${name}.ts`],
     outfile: `target/${name}.js`,
-    external: ['./hcl-parser.js'],
+    // A native module stays where it was installed.
+    external: ['./hcl-parser.js', 'classic-level'],
   });
 await build({ ...common, banner, entryPoints: ['src/cli/hcl-parser.js'], outfile: 'target/hcl-parser.js' });
--- a/src/cli/lab-command.ts
+++ b/src/cli/lab-command.ts
@@ -13,6 +13,7 @@
   options?: string;
   port?: string;
   dir?: string;
+  data?: string;
 }
 
 async function optionsOf(f: LabFlags, read: (file: string) => string): Promise<LabOptions> {
@@ -43,7 +44,8 @@
   const options = await optionsOf(f, read);
   const dir = f.dir ?? mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
   const log = (line: string): void => print(`${new Date().toISOString().slice(11, 19)}  ${line}`);
-  const cluster = await Lab.start(options, { program: daemon(), dir, log });
+  const data = f.data === undefined ? {} : { data: f.data };
+  const cluster = await Lab.start(options, { program: daemon(), dir, log, ...data });
   let ending = false;
   const end = async (): Promise<void> => {
     if (ending) return;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -170,6 +170,7 @@
   .option('--options <file>', 'what it is like (HCL; deploy/lab.hcl)')
   .option('--port <port>', 'port of the lab itself; 0 for a free one (7070)')
   .option('--dir <dir>', 'keep settings, logs and output there')
+  .option('--data <dir>', 'keep the records there, and go on with them')
   .action(inLab((c, f: Parameters<LabCommands['lab']>[0]) => c.lab(f, readText)));
 program
   .command('fault <kind>')
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -1,7 +1,7 @@
 // A cluster on one machine: real controllers, stand-ins on sockets, commands as child processes.
 import assert from 'node:assert/strict';
 import { type ChildProcess, spawn } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -99,30 +99,74 @@
   for (const pid of pids) assert.ok(!exists(pid), `${pid} is left`);
 });
 
-test('a lab that is killed leaves no controllers and no commands behind', async () => {
-  const port = 20_000 + (process.pid % 20_000);
+async function startLab(port: number, log: string) {
   const child: ChildProcess = spawn(
     process.execPath,
-    ['target/main.js', 'lab', '--port', String(port), '--dir', join(dir, 'k')],
-    {
-      stdio: ['ignore', 'pipe', 'inherit'],
-    },
+    ['target/main.js', 'lab', '--port', String(port), '--dir', join(dir, log), '--data', join(dir, 'data')],
+    { stdio: ['ignore', 'pipe', 'inherit'] },
   );
   let out = '';
   child.stdout!.on('data', (d) => {
     out += d;
   });
-  await eventually(() => /node-2 {2}\S+/.test(out));
+  await eventually(() => /try: /.test(out));
   const nodes = [...out.matchAll(/node-\d {2}(\S+)/g)].map((m) => m[1]!);
-  child.kill('SIGKILL');
-  const client = await Client.open({ nodes });
-  const request = { team: 'demo', class: 'x', cpus: 1, memoryGb: 1, image: 'i', imageGb: 1, estimateS: 1 };
-  const o = await client.run(request, { acceptWithinS: 3 });
+  return { child, nodes };
+}
+
+test('a lab that is killed leaves nothing running, and goes on from its records: what was done is not done again', async () => {
+  const port = 20_000 + (process.pid % 20_000);
+  const first = await startLab(port, 'one');
+  const pids = join(dir, 'pids');
+  const base = { team: 'demo', class: 'x', cpus: 1, memoryGb: 1, image: 'i', imageGb: 0, estimateS: 1 };
+  const file = join(dir, 'kept.json');
+  const submit = async (job: object, verb: string): Promise<string> => {
+    writeFileSync(file, JSON.stringify({ ...base, ...job }));
+    const child = spawn(process.execPath, [
+      'target/main.js',
+      verb,
+      file,
+      '--lab',
+      `127.0.0.1:${port}`,
+      '--json',
+    ]);
+    let out = '';
+    child.stdout.on('data', (d) => {
+      out += d;
+    });
+    await new Promise((r) => child.once('close', r));
+    return JSON.parse(out).id;
+  };
+  const done = await submit({ name: 'done', command: `echo once >> ${dir}/once` }, 'run');
+  const long = await submit(
+    { name: 'long', command: `echo $$ >> ${pids}; sleep 4; echo end >> ${dir}/ends` },
+    'submit',
+  );
+  const started = (): number[] =>
+    existsSync(pids) ? readFileSync(pids, 'utf8').trim().split('\n').map(Number) : [];
+  await eventually(() => started().length === 1);
+  first.child.kill('SIGKILL');
+  await eventually(() => !exists(started()[0]!));
+  const gone = await Client.open({ nodes: first.nodes });
+  const o = await gone.run(base, { acceptWithinS: 2 });
   assert.ok(
     o.kind === 'gave-up' && o.accepted === null && /did not answer/.test(o.reason),
     JSON.stringify(o),
   );
+  await gone.close();
+  const second = await startLab(port, 'two');
+  const client = await Client.open({ nodes: second.nodes });
+  assert.deepEqual(await client.wait(done), { kind: 'done', id: done });
+  assert.deepEqual(await client.wait(long), { kind: 'done', id: long });
   await client.close();
+  assert.deepEqual(
+    [readFileSync(join(dir, 'once'), 'utf8'), readFileSync(join(dir, 'ends'), 'utf8')],
+    ['once\n', 'end\n'],
+  );
+  assert.equal(started().length, 2);
+  second.child.kill('SIGTERM');
+  const code = await new Promise((r) => second.child.once('exit', r));
+  assert.equal(code, 0);
 });
 
 test('gangs begin together, complete together and notice a loss; images are fetched once; a stopped command has saved or not', async () => {
