--- a/src/protocol/far.ts
+++ b/src/protocol/far.ts
@@ -20,7 +20,7 @@
   TypeName,
   ZoneName,
 } from '../types/index.ts';
-import { amount, asObject, count, flag, InvalidMessage, text } from './job.ts';
+import { amount, asObject, count, flag, InvalidMessage, nameOf, text } from './job.ts';
 import { REASONS, STATES } from './worker.ts';
 
 export interface FarReply {
@@ -235,9 +235,6 @@
 
 // ---- worker
 
-const nameOf = <T>(known: Record<string, T>, value: T): string =>
-  Object.keys(known).find((k) => known[k] === value)!;
-
 export function encodeReport(r: Report): string {
   return JSON.stringify({
     berth: r.machine,
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -13,6 +13,10 @@
   cancelled: 'aborted',
 };
 
+/** The wire's name of a value that has one. */
+export const nameOf = <T>(known: Record<string, T>, value: T): string =>
+  Object.keys(known).find((k) => known[k] === value)!;
+
 /** Says which field is wrong; the message is shown to the user. */
 export class InvalidMessage extends Error {}
 
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -1,7 +1,7 @@
 // The users' interface seen from the user's side; job.ts is the other end of it.
 import type { JobSpec, JobStatus } from '../core/model.ts';
 import type { JobId } from '../types/index.ts';
-import { asObject, InvalidMessage, KINDS, PRIORITIES, STATUS } from './job.ts';
+import { asObject, InvalidMessage, KINDS, nameOf, PRIORITIES, STATUS } from './job.ts';
 
 export interface UserCall {
   method: 'GET' | 'POST';
@@ -16,9 +16,6 @@
   running: number;
 }
 
-const nameOf = <T>(known: Record<string, T>, value: T): string =>
-  Object.keys(known).find((k) => known[k] === value)!;
-
 export function encodeJob(spec: JobSpec): string {
   return JSON.stringify({
     nameId: spec.id,
