Commands end mistakes in one line; the session looks only at what it sends

Found from a fresh clone: a missing file or a command without a lab printed a stack, as the two bundles have classes of errors of their own. Now one line and exit code 2, held by a story.

Found on reading again: with the budget for retries used up, each wake went through all jobs that waited; now it stops at the first. Keys of a pipeline from a file are a hash, and its commands are found by exact key.

--- a/packages/client/src/pace.ts
+++ b/packages/client/src/pace.ts
@@ -33,6 +33,11 @@
     this.tokens = most;
   }
 
+  /** The retry that was taken is not made. */
+  giveBack(): void {
+    this.tokens++;
+  }
+
   earn(): void {
     this.tokens = Math.min(this.most, this.tokens + this.share);
   }
--- a/packages/client/src/session.ts
+++ b/packages/client/src/session.ts
@@ -118,8 +118,12 @@
   private readonly jobs = new Map<string, Job>();
   private readonly flights = new Map<number, Flight>();
   private readonly due = new Schedule<Job>();
-  /** What could be sent now if a node had room for it. */
-  private readonly ready: Record<Op, Set<Job>> = { cancel: new Set(), submit: new Set(), status: new Set() };
+  /** What could be sent now if a node had room for it; retries, which need the budget's leave, by themselves. */
+  private readonly ready: Record<Op, { first: Set<Job>; again: Set<Job> }> = {
+    cancel: { first: new Set(), again: new Set() },
+    submit: { first: new Set(), again: new Set() },
+    status: { first: new Set(), again: new Set() },
+  };
   private readonly health: Health;
   private readonly budget = new RetryBudget(RETRIES_PER_S, RETRIES_A_SUCCESS, RETRIES_MOST);
   private readonly unkept: Job[] = [];
@@ -230,7 +234,7 @@
     // Its poll, or its pause between polls, is not waited for.
     if (job.stage === 'open') {
       job.retryAt = this.now;
-      this.ready.status.delete(job);
+      this.unready(job);
       const flight = job.flying === null ? undefined : this.flights.get(job.flying);
       if (flight !== undefined) flight.stale = true;
       job.flying = null;
@@ -264,7 +268,8 @@
     if (job.cancel && job.stage === 'submitting' && !job.sent)
       return this.end(job, { kind: 'cancelled', id: job.id });
     if (this.now < job.retryAt) return this.due.set(job, Math.min(by, job.retryAt));
-    this.ready[this.opOf(job)].add(job);
+    const { first, again } = this.ready[this.opOf(job)];
+    (job.tries > 0 ? again : first).add(job);
   }
 
   /**
@@ -276,30 +281,44 @@
     return job.cancel ? 'cancel' : 'status';
   }
 
+  private unready(job: Job): void {
+    for (const { first, again } of Object.values(this.ready)) {
+      first.delete(job);
+      again.delete(job);
+    }
+  }
+
+  /** Sends what may be sent. Looks at no more jobs than it sends and one each for what stops it. */
   private pump(): void {
     this.blockedUntil = Number.POSITIVE_INFINITY;
-    for (const op of ['cancel', 'submit', 'status'] as const)
-      for (const job of this.ready[op]) {
+    for (const op of ['cancel', 'submit', 'status'] as const) {
+      for (const job of this.ready[op].first) {
         if (op === 'submit' && this.submitting >= this.maxSubmitting) break;
         if (!this.send(job, op)) return;
       }
+      for (const job of this.ready[op].again) {
+        if (op === 'submit' && this.submitting >= this.maxSubmitting) break;
+        const wait = this.budget.take(this.now);
+        if (wait > 0) {
+          this.blockedUntil = Math.min(this.blockedUntil, this.now + wait);
+          break;
+        }
+        if (!this.send(job, op)) return this.budget.giveBack();
+      }
+    }
   }
 
   /** False if no node can be asked now. */
   private send(job: Job, op: Op): boolean {
-    const wait = job.tries > 0 ? this.budget.take(this.now) : 0;
-    if (wait > 0) {
-      this.ready[op].delete(job);
-      job.retryAt = this.now + wait;
-      this.consider(job);
-      return true;
-    }
     const node = this.health.take(this.now, job.tries > 0 ? job.lastNode : null);
     if (node === null) {
-      this.blockedUntil = this.health.nextAt(this.now) ?? Number.POSITIVE_INFINITY;
+      this.blockedUntil = Math.min(
+        this.blockedUntil,
+        this.health.nextAt(this.now) ?? Number.POSITIVE_INFINITY,
+      );
       return false;
     }
-    this.ready[op].delete(job);
+    this.unready(job);
     const tag = this.nextTag++;
     job.flying = tag;
     job.lastNode = node;
@@ -403,7 +422,7 @@
   private close(job: Job, outcome: Outcome, after: number): void {
     job.stage = 'over';
     this.due.delete(job);
-    for (const set of Object.values(this.ready)) set.delete(job);
+    this.unready(job);
     this.jobs.delete(job.id);
     this.effects.push({ kind: 'outcome', outcome, after });
   }
--- a/src/cli/client-commands.ts
+++ b/src/cli/client-commands.ts
@@ -10,7 +10,7 @@
 } from '../../packages/client/src/index.ts';
 import { isJobId } from '../protocol/job.ts';
 import { BadSettings } from '../protocol/settings.ts';
-import { type FileJob, readJobs } from './job-file.ts';
+import { type FileJob, type JobFile, readJobs } from './job-file.ts';
 import { askLab } from './lab-client.ts';
 
 /** Documented in docs/client.md; of several jobs the highest counts. */
@@ -67,7 +67,7 @@
 }
 
 /** A job's tasks are told what to run before it is submitted. */
-function uploads(f: ClientFlags, jobs: readonly FileJob[]): ClientOptions['prepare'] | null {
+function uploads(f: ClientFlags, { jobs, key: all, pipeline }: JobFile): ClientOptions['prepare'] | null {
   const { lab } = f;
   if (lab === undefined) {
     const with_ = jobs.find((j) => j.command !== null);
@@ -75,7 +75,7 @@
     return null;
   }
   return async (id, r, key) => {
-    const job = jobs.find((j) => key === j.key || key?.endsWith(`/${j.name}`));
+    const job = jobs.find((j) => key === (pipeline ? `${all}/${j.name}` : j.key));
     await askLab(lab, 'PUT', `/jobs/${id}`, {
       kind: r.kind ?? 'array',
       tasks: r.tasks ?? 1,
@@ -108,15 +108,24 @@
         `swiftford: ${f.outbox}: an unfinished record at byte ${client.torn.offset} was cut off\n`,
       );
     process.exitCode = await run(client, stop.signal);
-  } catch (e) {
-    process.stderr.write(`swiftford: ${(e as Error).message}\n`);
-    process.exitCode = e instanceof BadRequest || e instanceof BadSettings ? EXIT.usage : EXIT.trouble;
   } finally {
     process.removeListener('SIGINT', onInt);
     await client?.close();
   }
 }
 
+/** Every mistake ends in one line and an exit code: here, as the program's own classes of errors are not this bundle's. */
+const command =
+  <A extends unknown[]>(run: (...args: A) => Promise<void>) =>
+  async (...args: A): Promise<void> => {
+    try {
+      await run(...args);
+    } catch (e) {
+      process.stderr.write(`swiftford: ${(e as Error).message}\n`);
+      process.exitCode = e instanceof BadRequest || e instanceof BadSettings ? EXIT.usage : EXIT.trouble;
+    }
+  };
+
 async function jobsOf(file: string) {
   const text = file === '-' ? readFileSync(0, 'utf8') : readText(file);
   const hcl = file.endsWith('.hcl') ? (await import('./hcl-parser.js')).parse : null;
@@ -131,15 +140,16 @@
   }
 }
 
-export async function submit(file: string, f: ClientFlags): Promise<void> {
-  const { jobs, pipeline } = await jobsOf(file);
+export const submit = command(async (file: string, f: ClientFlags): Promise<void> => {
+  const given = await jobsOf(file);
+  const { jobs, pipeline } = given;
   const times = {
     acceptWithinS: seconds('accept-within', f.acceptWithin),
     withinS: seconds('within', f.within),
   };
   const options = Object.fromEntries(Object.entries(times).filter(([, v]) => v !== undefined));
   const wait = f.wait === true || pipeline;
-  const prepare = uploads(f, jobs);
+  const prepare = uploads(f, given);
   await withClient(
     f,
     async (client, signal) => {
@@ -162,8 +172,7 @@
       try {
         if (pipeline) {
           const named = Object.fromEntries(jobs.map((j) => [j.name, j.request]));
-          const keys = jobs.map((j) => j.key).join('');
-          const outcomes = await client.pipeline(named, { ...options, key: keys, signal });
+          const outcomes = await client.pipeline(named, { ...options, key: given.key, signal });
           for (const j of jobs) note(j, outcomes[j.name]!.id, outcomes[j.name]!);
         } else
           await Promise.all(
@@ -180,7 +189,7 @@
     },
     prepare,
   );
-}
+});
 
 /** One job given by its fields on the command line or a file with one job; waits for its end. */
 export const run = (file: string, f: ClientFlags): Promise<void> => submit(file, { ...f, wait: true });
@@ -190,7 +199,7 @@
   return id;
 }
 
-export async function watch(id: string, f: ClientFlags): Promise<void> {
+export const watch = command(async (id: string, f: ClientFlags): Promise<void> => {
   checked(id);
   const withinS = seconds('within', f.within);
   await withClient(f, async (client, signal) => {
@@ -205,9 +214,9 @@
       print(f.json ? JSON.stringify(s) : `${id}  ${s.phase}  ${s.done} done, ${s.running} running`);
     }
   });
-}
+});
 
-export async function cancel(id: string, f: ClientFlags): Promise<void> {
+export const cancel = command(async (id: string, f: ClientFlags): Promise<void> => {
   checked(id);
   const withinS = seconds('within', f.within) ?? 120;
   await withClient(f, async (client, signal) => {
@@ -216,4 +225,4 @@
     // Here a job that is cancelled is what was asked for.
     return o.kind === 'cancelled' ? EXIT.done : codeOf(o);
   });
-}
+});
--- a/src/cli/job-file.ts
+++ b/src/cli/job-file.ts
@@ -17,11 +17,16 @@
 /** `awaits` that name jobs of the file are theirs; `pipeline` says whether there are any. */
 export interface JobFile {
   jobs: FileJob[];
+  /** The same for the same jobs: what keys of a pipeline begin with. */
+  key: string;
   pipeline: boolean;
 }
 
 type Fields = Record<string, unknown>;
 
+const hashOf = (what: unknown): string =>
+  createHash('sha256').update(JSON.stringify(what)).digest('hex').slice(0, 16);
+
 export function readJobs(file: string, text: string, hcl: typeof parse | null): JobFile {
   const named = hcl === null ? fromJson(file, text) : fromHcl(file, text, hcl);
   if (named.length === 0) throw new BadSettings(`${file}: there is no job in it`);
@@ -32,10 +37,7 @@
     // A named job keeps its name, so that others can await it by it.
     const { name: _, command: given, ...request } = fields as Fields;
     const command = commandOf(file, name, given);
-    const hash = createHash('sha256')
-      .update(JSON.stringify([name, request, command]))
-      .digest('hex')
-      .slice(0, 16);
+    const hash = hashOf([name, request, command]);
     const nth = seen.get(hash) ?? 0;
     seen.set(hash, nth + 1);
     return {
@@ -47,7 +49,11 @@
   });
   const names = new Set(jobs.map((j) => j.name));
   if (names.size < jobs.length) throw new BadSettings(`${file}: two jobs have the same name`);
-  return { jobs, pipeline: jobs.some((j) => j.request.awaits?.some((a) => names.has(a))) };
+  return {
+    jobs,
+    key: hashOf(jobs.map((j) => j.key)),
+    pipeline: jobs.some((j) => j.request.awaits?.some((a) => names.has(a))),
+  };
 }
 
 function commandOf(file: string, name: string, given: unknown): string[] | null {
--- a/test/client-commands.test.ts
+++ b/test/client-commands.test.ts
@@ -135,6 +135,18 @@
   const gone = await swiftford(['submit', one, '--node', s.addr, '--accept-within', '1']).ended;
   assert.equal(gone.code, 5, gone.err);
   assert.match(gone.out, /given up: .* did not answer; submit it again under the id run-/);
+  const nodes = ['--node', '127.0.0.1:1'];
+  writeFileSync(join(dir, 'told.json'), JSON.stringify({ ...REQUEST, command: 'true' }));
+  for (const [args, said] of [
+    [['submit', join(dir, 'none.json'), ...nodes], /^swiftford: .*none.json: cannot be read: ENOENT\n$/],
+    [['submit', join(dir, 'told.json'), ...nodes], /^swiftford: job 1: a command is run by a lab only/],
+    [['watch', 'x', ...nodes], /^swiftford: x: a job id looks like run-000412\n$/],
+    [['submit', one], /^swiftford: name the nodes with --node/],
+  ] as const) {
+    const r = await swiftford([...args]).ended;
+    assert.equal(r.code, 2);
+    assert.match(r.err, said);
+  }
   assert.throws(() => readJobs('f', '{"team":1}\nnonsense', null), /f: line 2 is not JSON/);
 });
 
