--- a/packages/lab/src/lab.ts
+++ b/packages/lab/src/lab.ts
@@ -27,7 +27,7 @@
 import { FakeCloud } from './cloud.ts';
 import { Data } from './data.ts';
 import { endGroup, Guard } from './guard.ts';
-import type { LabOptions } from './options.ts';
+import { type Fault, type LabOptions, readFault } from './options.ts';
 import type { CloudPlace, Work, WorkerPlace } from './place.ts';
 import { error, freePort, type Listening, listen } from './serve.ts';
 import { FakeState } from './state.ts';
@@ -51,23 +51,6 @@
   restarts: number;
 }
 
-/** What can be done to a lab, by `swiftford fault` and the drills. */
-export type Fault =
-  | { kind: 'kill-controller'; name?: string }
-  | { kind: 'freeze-controller'; name?: string; seconds: number }
-  | { kind: 'state-outage'; seconds: number }
-  /** Half of the answers of the state service are lost, the requests executed. */
-  | { kind: 'state-silent'; seconds: number }
-  | { kind: 'cloud-outage'; seconds: number }
-  | { kind: 'machine-death'; count: number }
-  | { kind: 'spot-wave'; notice: number }
-  /** Nothing passes between a zone's workers and the controllers. */
-  | { kind: 'zone-cut'; zone: string; seconds: number }
-  /** The same, and what was sent meanwhile arrives when it is over, when nobody waits for answers any more. */
-  | { kind: 'zone-hold'; zone: string; seconds: number }
-  /** Requests to the state service are executed, but only when it is over, and nobody is answered. */
-  | { kind: 'state-late'; seconds: number };
-
 const RESTART_MS = 1500;
 
 export class Lab implements CloudPlace, WorkerPlace {
@@ -254,12 +237,24 @@
   async ready(withinMs = 30_000): Promise<void> {
     const until = this.now + withinMs;
     while (this.now < until && !this.stopping) {
-      for (const c of this.controllers) if (await this.isReady(c)) return;
+      for (const c of this.controllers) if (await this.isReady(c)) return this.plan();
       await new Promise<void>((r) => this.after(100, r));
     }
     throw new Error(`no controller is ready; see the logs in ${this.setup.dir}`);
   }
 
+  /** Faults of the options, from the first time that the lab is ready. */
+  private plan(): void {
+    for (const { atS, fault } of this.options.faults.splice(0))
+      this.after(atS * 1000, () => {
+        try {
+          this.fault(fault);
+        } catch (e) {
+          this.setup.log((e as Error).message);
+        }
+      });
+  }
+
   private isReady(c: Controller): Promise<boolean> {
     return new Promise((resolve) =>
       this.lines
@@ -427,7 +422,7 @@
     }
     if (method === 'POST' && what === 'faults') {
       try {
-        return ok({ done: this.fault(body as Fault) });
+        return ok({ done: this.fault(readFault('fault', body)) });
       } catch (e) {
         return answer(error(400, (e as Error).message));
       }
@@ -445,7 +440,7 @@
   }
 
   private doFault(f: Fault): string {
-    const ms = 'seconds' in f ? Math.max(0, f.seconds) * 1000 : 0;
+    const ms = f.seconds * 1000;
     switch (f.kind) {
       case 'kill-controller': {
         const c = this.pick(f.name);
@@ -480,21 +475,21 @@
       case 'spot-wave': {
         const spot = [...this.workers.values()].filter((w) => w.spot && w.up && !w.dead);
         for (const w of spot) {
-          w.noticeS = f.notice;
-          this.after(f.notice * 1000, () => this.takeAway(w));
+          w.noticeS = f.seconds;
+          this.after(ms, () => this.takeAway(w));
         }
-        return `${spot.length} spot machines are taken back in ${f.notice} s`;
+        return `${spot.length} spot machines are taken back in ${f.seconds} s`;
       }
       case 'zone-cut':
       case 'zone-hold':
-        if (!this.options.lab.zones.includes(f.zone)) throw new Error(`there is no zone ${f.zone}`);
+        if (f.zone === undefined || !this.options.lab.zones.includes(f.zone))
+          throw new Error(`there is no zone ${f.zone}; ${this.options.lab.zones.join(', ')}`);
         this.cuts.set(f.zone, { until: this.now + ms, hold: f.kind === 'zone-hold' });
         return `zone ${f.zone} is cut off for ${f.seconds} s`;
       case 'state-late':
         this.lateUntil = this.now + ms;
         return `the state service executes late and does not answer, for ${f.seconds} s`;
     }
-    throw new Error(`there is no such fault: ${(f as { kind: unknown }).kind}`);
   }
 
   private pick(name: string | undefined): Controller {
--- a/packages/lab/src/options.ts
+++ b/packages/lab/src/options.ts
@@ -55,6 +55,43 @@
   spot: number(0, 1000, 4),
 });
 
+export const FAULTS = [
+  'kill-controller',
+  'freeze-controller',
+  'state-outage',
+  'state-silent',
+  'state-late',
+  'cloud-outage',
+  'machine-death',
+  'spot-wave',
+  'zone-cut',
+  'zone-hold',
+] as const;
+/** Something that goes wrong, now or `at_s` seconds after the lab is ready. */
+const fault = v.strictObject({
+  at_s: v.optional(amount, 0),
+  /** How long; for a spot wave, how much notice. */
+  seconds: number(0.1, 86_400, 10),
+  /** Machines, for machine-death. */
+  count: number(1, 10_000, 1),
+  /** A controller; by default any that is up. */
+  name: v.optional(v.string()),
+  zone: v.optional(v.string()),
+});
+export type Fault = Omit<v.InferOutput<typeof fault>, 'at_s'> & { kind: (typeof FAULTS)[number] };
+
+/** Reads a fault as it comes from a command; `file` names it in errors. */
+export function readFault(file: string, given: unknown): Fault {
+  const { kind, ...rest } = given as { kind?: unknown };
+  const known = FAULTS.find((k) => k === kind);
+  if (known === undefined)
+    throw new BadSettings(`${file}: there is no such fault: ${kind}; ${FAULTS.join(', ')}`);
+  const checked = v.safeParse(fault, rest);
+  if (!checked.success) throw new BadSettings(`${file}: ${known}: ${checked.issues[0].message}`);
+  const { at_s: _, ...f } = checked.output;
+  return { kind: known, ...f };
+}
+
 const one = <S extends v.GenericSchema>(s: S) => v.optional(v.pipe(v.array(s), v.length(1)), [{}] as never);
 const many = <S extends v.GenericSchema>(s: S) =>
   v.optional(v.record(v.string(), v.pipe(v.array(s), v.length(1))), {} as never);
@@ -65,6 +102,7 @@
   cloud: one(cloud),
   team: many(team),
   type: many(type),
+  fault: v.optional(v.record(v.picklist(FAULTS), v.array(fault)), {}),
 });
 
 export interface LabOptions {
@@ -74,6 +112,7 @@
   cloud: v.InferOutput<typeof cloud>;
   teams: Record<string, v.InferOutput<typeof team>>;
   types: Record<string, v.InferOutput<typeof type>>;
+  faults: { atS: number; fault: Fault }[];
 }
 
 /** Reads the parsed form of an HCL file; `deploy/lab.hcl` shows all of it. */
@@ -96,6 +135,9 @@
     state: o.state[0]!,
     cloud: o.cloud[0]!,
     teams: Object.keys(teams).length > 0 ? teams : { demo: v.parse(team, {}) },
+    faults: Object.entries(o.fault).flatMap(([kind, list]) =>
+      (list ?? []).map(({ at_s, ...f }) => ({ atS: at_s, fault: { kind: kind as Fault['kind'], ...f } })),
+    ),
     types: Object.keys(types).length > 0 ? types : { small: v.parse(type, { cpus: 8, memory_gb: 32 }) },
   };
 }
--- a/scripts/drill/client.ts
+++ b/scripts/drill/client.ts
@@ -64,7 +64,7 @@
   script = child;
 }
 
-const FAULTS: (() => Fault)[] = [
+const FAULTS: (() => Partial<Fault> & Pick<Fault, 'kind'>)[] = [
   () => ({ kind: 'kill-controller' }),
   () => ({ kind: 'kill-controller' }),
   () => ({ kind: 'freeze-controller', seconds: 2 + random.below(5) }),
@@ -73,7 +73,7 @@
   () => ({ kind: 'state-late', seconds: 1 + random.below(4) }),
   () => ({ kind: 'zone-hold', zone: 'b', seconds: 3 + random.below(15) }),
   () => ({ kind: 'machine-death', count: 1 + random.below(3) }),
-  () => ({ kind: 'spot-wave', notice: 2 }),
+  () => ({ kind: 'spot-wave', seconds: 2 }),
   () => ({ kind: 'zone-cut', zone: 'a', seconds: 3 + random.below(12) }),
 ];
 let faults = 0;
@@ -83,7 +83,7 @@
   while (!done && killed < kills) {
     await sleep(2000 + random.below(3000));
     try {
-      lab.fault(FAULTS[random.below(FAULTS.length)]!());
+      lab.fault({ seconds: 1, count: 1, ...FAULTS[random.below(FAULTS.length)]!() });
       faults++;
     } catch (e) {
       log(String(e));
--- a/src/cli/lab-command.ts
+++ b/src/cli/lab-command.ts
@@ -86,8 +86,7 @@
     kind,
     seconds,
     count,
-    notice: seconds,
-    zone: f.zone,
+    ...(f.zone === undefined ? {} : { zone: f.zone }),
     ...(f.name === undefined ? {} : { name: f.name }),
   };
   const { done } = (await askLab(f.lab ?? true, 'POST', '/faults', body)) as { done: string };
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -174,9 +174,7 @@
   .action(inLab((c, f: Parameters<LabCommands['lab']>[0]) => c.lab(f, readText)));
 program
   .command('fault <kind>')
-  .description(
-    'kill-controller, freeze-controller, state-outage, state-silent, state-late, cloud-outage, machine-death, spot-wave, zone-cut, zone-hold',
-  )
+  .description('let something go wrong in a lab; docs/lab.md lists the kinds')
   .option('--lab [address]', 'address of the lab')
   .option('--seconds <n>', 'how long, or how much notice (10)')
   .option('--count <n>', 'how many machines (1)')
--- a/test/lab.test.ts
+++ b/test/lab.test.ts
@@ -69,7 +69,7 @@
     });
     const ended = new Promise<number | null>((r) => child.once('exit', (code) => r(code)));
     await eventually(() => lab.runs.length >= 3);
-    lab.fault({ kind: 'kill-controller' });
+    lab.fault({ kind: 'kill-controller', seconds: 1, count: 1 });
     assert.equal(await ended, 0, out);
     await eventually(() => lab.controllers.every((c) => c.process !== null));
     pids.push(...lab.controllers.map((c) => c.process!.pid!));
@@ -226,5 +226,22 @@
     (e) => e instanceof BadSettings && /f.hcl: lab.sped: unknown name/.test(e.message),
   );
   assert.throws(() => readLabOptions('f.hcl', { type: { x: [{ cpus: -1, memory_gb: 1 }] } }), /type.x.cpus/);
+  const bad = { fault: { 'kill-controler': [{ at_s: 1 }] } };
+  assert.throws(() => readLabOptions('f.hcl', bad), /f.hcl: fault/);
+  const { faults } = readLabOptions('f', {
+    fault: {
+      'zone-cut': [
+        { at_s: 3, zone: 'a' },
+        { at_s: 9, zone: 'b' },
+      ],
+    },
+  });
+  assert.deepEqual(
+    faults.map((f) => [f.atS, f.fault.kind, f.fault.zone, f.fault.seconds]),
+    [
+      [3, 'zone-cut', 'a', 10],
+      [9, 'zone-cut', 'b', 10],
+    ],
+  );
   assert.equal(readLabOptions('f', { team: { a: [{ cpus_max: 3 }] } }).teams.a?.cpus_max, 3);
 });
