A cancellation asked for before its job is sent is not lost

Found on reading again: cancel() by an id of the caller's own, while the submission still waits for its turn, reached a session that did not know the job. Seen to fail first.

--- a/packages/client/src/client.ts
+++ b/packages/client/src/client.ts
@@ -46,6 +46,8 @@
   state: JobState | null;
   outcome: Outcome | null;
   error: Error | null;
+  /** It is to be cancelled, perhaps before the session knows of it. */
+  cancel: boolean;
   /** Called at every news. */
   listeners: Set<() => void>;
 }
@@ -147,6 +149,7 @@
       }
       this.pending++;
       this.step({ kind: 'submit', id, key, body, acceptMs, endMs });
+      if (f.cancel) this.step({ kind: 'cancel', id });
     }
     const f = this.followed.get(id)!;
     await this.until(f, () => f.accepted || f.outcome !== null, signal);
@@ -183,7 +186,7 @@
 
   /** Asks for the end of a job and returns what the service settled on: cancelled, or done if that came first. */
   async cancel(id: string, options: { signal?: AbortSignal; withinS?: number } = {}): Promise<Outcome> {
-    this.known(id, options.withinS);
+    this.known(id, options.withinS).cancel = true;
     this.step({ kind: 'cancel', id });
     return this.wait(id, options);
   }
@@ -255,7 +258,14 @@
   // ---- jobs of this process
 
   private follow(id: string): Followed {
-    const f: Followed = { accepted: false, state: null, outcome: null, error: null, listeners: new Set() };
+    const f: Followed = {
+      accepted: false,
+      state: null,
+      outcome: null,
+      error: null,
+      cancel: false,
+      listeners: new Set(),
+    };
     this.followed.set(id, f);
     return f;
   }
--- a/test/client-commands.test.ts
+++ b/test/client-commands.test.ts
@@ -169,6 +169,9 @@
   const ends = await Promise.all([client.cancel(many[1]!.id), client.wait(many[1]!.id)]);
   assert.deepEqual(ends[0], ends[1]);
   assert.equal(ends[0].kind, 'cancelled');
+  const early = client.submit(REQUEST, { id: 'run-early' });
+  const ended = await client.cancel('run-early');
+  assert.deepEqual([ended.kind, (await early).outcome], ['cancelled', ended], 'asked for before it was sent');
   const awaiting = (awaits: string[]): JobRequest => ({ ...REQUEST, awaits });
   const out = await client.pipeline({ z: awaiting(['y']), y: { ...REQUEST, team: 'nobody' }, x: REQUEST });
   assert.deepEqual([out.x.kind, out.y.kind, out.z.kind], ['done', 'refused', 'refused']);
