--- a/src/http/client.ts
+++ b/src/http/client.ts
@@ -8,8 +8,13 @@
   body: string | null;
   timeoutMs: number;
 }
+export interface ClientReply {
+  status: number;
+  headers: Map<string, string>;
+  body: Buffer;
+}
 /** null: no answer; the request may or may not have been executed, now or later. */
-export type ClientDone = (reply: { status: number; body: Buffer } | null) => void;
+export type ClientDone = (reply: ClientReply | null) => void;
 
 interface Waiting {
   call: ClientCall;
@@ -56,7 +61,7 @@
     try {
       for (const m of this.parser.feed(data)) {
         if (!m.keepAlive) this.kill();
-        this.finish({ status: m.status, body: m.body });
+        this.finish(m);
       }
     } catch {
       this.fail();
@@ -65,11 +70,11 @@
 
   private onEnd(): void {
     const last = this.parser.end();
-    if (last !== null) this.finish({ status: last.status, body: last.body });
+    if (last !== null) this.finish(last);
     this.fail();
   }
 
-  private finish(reply: { status: number; body: Buffer } | null): void {
+  private finish(reply: ClientReply | null): void {
     const c = this.current;
     if (c === null) return;
     this.current = null;
--- a/src/protocol/job.ts
+++ b/src/protocol/job.ts
@@ -4,9 +4,9 @@
 
 const MAX_TASKS = 100_000;
 const JOB_ID = /^run-[A-Za-z0-9_.-]{1,120}$/;
-const KINDS: Record<string, JobKind> = { batch: 'array', gang: 'gang', daemon: 'service' };
-const PRIORITIES: Record<string, Priority> = { critical: 3, urgent: 2, normal: 1, idle: 0 };
-const STATUS: Record<JobStatus, string> = {
+export const KINDS: Record<string, JobKind> = { batch: 'array', gang: 'gang', daemon: 'service' };
+export const PRIORITIES: Record<string, Priority> = { critical: 3, urgent: 2, normal: 1, idle: 0 };
+export const STATUS: Record<JobStatus, string> = {
   queued: 'pending',
   running: 'running',
   done: 'done',
--- /dev/null
+++ b/src/protocol/user.ts
@@ -0,0 +1,80 @@
+// The users' interface seen from the user's side; job.ts is the other end of it.
+import type { JobSpec, JobStatus } from '../core/model.ts';
+import type { JobId } from '../types/index.ts';
+import { asObject, InvalidMessage, KINDS, PRIORITIES, STATUS } from './job.ts';
+
+export interface UserCall {
+  method: 'GET' | 'POST';
+  path: string;
+  body: string | null;
+}
+
+/** What the service says of a job. */
+export interface Told {
+  status: JobStatus;
+  done: number;
+  running: number;
+}
+
+const nameOf = <T>(known: Record<string, T>, value: T): string =>
+  Object.keys(known).find((k) => known[k] === value)!;
+
+export function encodeJob(spec: JobSpec): string {
+  return JSON.stringify({
+    nameId: spec.id,
+    jobclass: spec.class,
+    owner: spec.team,
+    shape: nameOf(KINDS, spec.kind),
+    urgency: nameOf(PRIORITIES, spec.priority),
+    pieces: spec.tasks,
+    cores: spec.cpus,
+    accelerators: spec.gpus,
+    memoryGb: spec.memoryGb,
+    bundle: spec.image,
+    sizeGb: spec.imageGb,
+    berthkinds: spec.types,
+    yard: spec.zone,
+    samePlace: spec.oneZone,
+    scatter: spec.spread,
+    loaners: spec.spot,
+    guessS: spec.estimateS,
+    snapshotS: spec.checkpointS,
+    flushS: spec.saveS,
+    dueS: spec.deadlineS,
+    ...(spec.awaits === undefined ? {} : { awaits: spec.awaits }),
+  });
+}
+
+export const submitCall = (body: string): UserCall => ({ method: 'POST', path: '/work', body });
+export const statusCall = (id: JobId): UserCall => ({ method: 'GET', path: `/work/${id}`, body: null });
+export const cancelCall = (id: JobId): UserCall => ({
+  method: 'POST',
+  path: `/work/${id}/abort`,
+  body: null,
+});
+
+/** The body of an answer with status 200 or 201; throws InvalidMessage on any other. */
+export function decodeTold(body: string): Told {
+  const f = asObject(parse(body), 'the answer');
+  const status = (Object.keys(STATUS) as JobStatus[]).find((s) => STATUS[s] === f.status);
+  if (status === undefined) throw new InvalidMessage('the answer names no known status');
+  const amount = (v: unknown): number => (typeof v === 'number' && v >= 0 ? v : 0);
+  return { status, done: amount(f.done), running: amount(f.running) };
+}
+
+/** The reason of a refusal, as it can be read to a caller. */
+export function decodeReason(status: number, body: string): string {
+  try {
+    const { error } = asObject(parse(body), 'the answer');
+    if (typeof error === 'string' && error !== '') return error;
+  } catch {}
+  return `the service answered ${status} and gave no reason`;
+}
+
+function parse(body: string): unknown {
+  try {
+    return JSON.parse(body);
+  } catch {
+    throw new InvalidMessage('the answer is not JSON');
+  }
+}
