--- a/packages/client/src/request.ts
+++ b/packages/client/src/request.ts
@@ -1,17 +1,11 @@
 // A caller's job, with what was left out, in the form that the service takes; refused here if it can't be right.
 import { randomUUID } from 'node:crypto';
-import type { JobSpec, Priority } from '../../../src/core/model.ts';
-import { InvalidMessage, isJobId, parseJob } from '../../../src/protocol/job.ts';
-import { encodeJob } from '../../../src/protocol/user.ts';
+import type { JobSpec } from '../../../src/core/model.ts';
+import { InvalidMessage, isJobId, PRIORITIES, parseJob } from '../../../src/protocol/job.ts';
+import { encodeJob, inOurWords } from '../../../src/protocol/user.ts';
 import type { JobId, TeamName, TypeName, ZoneName } from '../../../src/types/index.ts';
 import { BadRequest, type JobRequest } from './types.ts';
 
-const PRIORITIES: Record<NonNullable<JobRequest['priority']>, Priority> = {
-  critical: 3,
-  urgent: 2,
-  normal: 1,
-  idle: 0,
-};
 const FIELDS = new Set(
   [
     'team class kind priority tasks cpus gpus memoryGb image imageGb types zone oneZone spread spot estimateS',
@@ -35,7 +29,7 @@
     class: r.class,
     team: r.team as TeamName,
     kind: r.kind ?? 'array',
-    priority: PRIORITIES[r.priority ?? 'normal'],
+    priority: PRIORITIES[r.priority ?? 'normal']!,
     tasks: r.tasks ?? 1,
     cpus: r.cpus,
     gpus: r.gpus ?? 0,
@@ -63,24 +57,3 @@
   }
   return body;
 }
-
-const WORDS: Record<string, string> = {
-  jobclass: 'class',
-  owner: 'team',
-  shape: 'kind',
-  pieces: 'tasks',
-  cores: 'cpus',
-  accelerators: 'gpus',
-  bundle: 'image',
-  sizeGb: 'imageGb',
-  berthkinds: 'types',
-  yard: 'zone',
-  samePlace: 'oneZone',
-  scatter: 'spread',
-  loaners: 'spot',
-  guessS: 'estimateS',
-  snapshotS: 'checkpointS',
-  flushS: 'saveS',
-  dueS: 'deadlineS',
-};
-const inOurWords = (message: string): string => message.replace(/^\w+/, (w) => WORDS[w] ?? w);
--- a/packages/client/src/session.ts
+++ b/packages/client/src/session.ts
@@ -3,7 +3,6 @@
 // - A job is sent only after its id and body are kept, and always under the same id.
 // - It has one request under way at a time of which the answer counts, so none replaces a newer one.
 // - It ends with one outcome, which is what the service settled on, or the statement that the caller's time was over.
-import type { JobStatus } from '../../../src/core/model.ts';
 import { InvalidMessage } from '../../../src/protocol/job.ts';
 import {
   cancelCall,
@@ -433,9 +432,9 @@
   return op === 'submit' ? submitCall(job.body!) : op === 'cancel' ? cancelCall(id) : statusCall(id);
 }
 
-function stateOf(
-  id: string,
-  { status, done, running }: { status: JobStatus; done: number; running: number },
-) {
-  return { id, phase: status, done, running };
-}
+const stateOf = (id: string, { status, done, running }: Told): JobState => ({
+  id,
+  phase: status,
+  done,
+  running,
+});
--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -1,4 +1,4 @@
-// A worker's side of the protocol: reports, tokens, leases, sessions, commands; it checks the rules on every start.
+// A worker's side of the protocol: reports, tokens, leases, sessions, commands. What runs, and what checks it, is its place's.
 import type {
   Command,
   ExitReason,
--- a/src/cli/client-commands.ts
+++ b/src/cli/client-commands.ts
@@ -8,9 +8,9 @@
   type JobState,
   type Outcome,
 } from '../../packages/client/src/index.ts';
-import { isJobId } from '../protocol/job.ts';
 import { BadSettings } from '../protocol/settings.ts';
-import { type FileJob, type JobFile, readJobs } from './job-file.ts';
+import { jobIdOf, parseHcl, readText } from './files.ts';
+import { type FileJob, fromHcl, fromJson, type JobFile } from './job-file.ts';
 import { askLab } from './lab-client.ts';
 
 /** Documented in docs/client.md; of several jobs the highest counts. */
@@ -74,15 +74,15 @@
     if (with_ !== undefined) throw new BadSettings(`${with_.name}: a command is run by a lab only (--lab)`);
     return null;
   }
+  const commands = new Map(jobs.map((j) => [pipeline ? `${all}/${j.name}` : j.key, j.command]));
   return async (id, r, key) => {
-    const job = jobs.find((j) => key === (pipeline ? `${all}/${j.name}` : j.key));
     await askLab(lab, 'PUT', `/jobs/${id}`, {
       kind: r.kind ?? 'array',
       tasks: r.tasks ?? 1,
       image: r.image,
       imageGb: r.imageGb,
       runS: r.estimateS,
-      command: job?.command ?? null,
+      command: commands.get(key ?? '') ?? null,
     });
   };
 }
@@ -128,16 +128,7 @@
 
 async function jobsOf(file: string) {
   const text = file === '-' ? readFileSync(0, 'utf8') : readText(file);
-  const hcl = file.endsWith('.hcl') ? (await import('./hcl-parser.js')).parse : null;
-  return readJobs(file, text, hcl);
-}
-
-function readText(file: string): string {
-  try {
-    return readFileSync(file, 'utf8');
-  } catch (e) {
-    throw new BadSettings(`${file}: cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
-  }
+  return file.endsWith('.hcl') ? fromHcl(file, await parseHcl(file, text)) : fromJson(file, text);
 }
 
 export const submit = command(async (file: string, f: ClientFlags): Promise<void> => {
@@ -194,13 +185,8 @@
 /** One job given by its fields on the command line or a file with one job; waits for its end. */
 export const run = (file: string, f: ClientFlags): Promise<void> => submit(file, { ...f, wait: true });
 
-function checked(id: string): string {
-  if (!isJobId(id)) throw new BadSettings(`${id}: a job id looks like run-000412`);
-  return id;
-}
-
 export const watch = command(async (id: string, f: ClientFlags): Promise<void> => {
-  checked(id);
+  jobIdOf(id);
   const withinS = seconds('within', f.within);
   await withClient(f, async (client, signal) => {
     const states = client.watch(id, { signal, ...(withinS === undefined ? {} : { withinS }) });
@@ -217,7 +203,7 @@
 });
 
 export const cancel = command(async (id: string, f: ClientFlags): Promise<void> => {
-  checked(id);
+  jobIdOf(id);
   const withinS = seconds('within', f.within) ?? 120;
   await withClient(f, async (client, signal) => {
     const o = await client.cancel(id, { signal, withinS });
--- a/src/cli/job-file.ts
+++ b/src/cli/job-file.ts
@@ -2,7 +2,6 @@
 import { createHash } from 'node:crypto';
 import type { JobRequest } from '../../packages/client/src/index.ts';
 import { BadSettings } from '../protocol/settings.ts';
-import type { parse } from './hcl-parser.js';
 
 export interface FileJob {
   /** Its name in the file, or its place there. */
@@ -27,8 +26,7 @@
 const hashOf = (what: unknown): string =>
   createHash('sha256').update(JSON.stringify(what)).digest('hex').slice(0, 16);
 
-export function readJobs(file: string, text: string, hcl: typeof parse | null): JobFile {
-  const named = hcl === null ? fromJson(file, text) : fromHcl(file, text, hcl);
+function jobsOf(file: string, named: Named[]): JobFile {
   if (named.length === 0) throw new BadSettings(`${file}: there is no job in it`);
   const seen = new Map<string, number>();
   const jobs = named.map(({ name, fields }) => {
@@ -70,7 +68,9 @@
   fields: unknown;
 }
 
-function fromJson(file: string, text: string): Named[] {
+export const fromJson = (file: string, text: string): JobFile => jobsOf(file, namedInJson(file, text));
+
+function namedInJson(file: string, text: string): Named[] {
   const trimmed = text.trim();
   const lines = trimmed.split('\n').filter((l) => l.trim() !== '');
   const whole = tryJson(trimmed);
@@ -97,13 +97,13 @@
   }
 }
 
-function fromHcl(file: string, text: string, parseHcl: typeof parse): Named[] {
-  const [parsed, error] = parseHcl(text);
-  if (error !== null && error !== undefined) throw new BadSettings(`${file}: cannot be parsed as HCL`);
+/** Of the parsed form. */
+export function fromHcl(file: string, parsed: unknown): JobFile {
   const { job, ...rest } = (parsed ?? {}) as Fields;
   const other = Object.keys(rest)[0];
   if (other !== undefined) throw new BadSettings(`${file}: ${other}: only job "name" { ... } blocks`);
-  return Object.entries((job ?? {}) as Record<string, unknown[]>).flatMap(([name, blocks]) =>
+  const named = Object.entries((job ?? {}) as Record<string, unknown[]>).flatMap(([name, blocks]) =>
     blocks.map((fields) => ({ name, fields })),
   );
+  return jobsOf(file, named);
 }
--- a/src/cli/lab-client.ts
+++ b/src/cli/lab-client.ts
@@ -1,6 +1,6 @@
 // Asks a running lab at its own address.
 import { HttpClient } from '../http/client.ts';
-import { BadSettings } from '../protocol/settings.ts';
+import { addrOf } from './files.ts';
 
 export const LAB = '127.0.0.1:7070';
 const ASK_MS = 5000;
@@ -12,9 +12,7 @@
   path: string,
   body: unknown = null,
 ): Promise<unknown> {
-  const at = addr === true ? LAB : addr;
-  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(at))
-    throw new BadSettings(`${at}: a lab's address looks like ${LAB}`);
+  const at = addrOf(addr === true ? LAB : addr, `a lab's address looks like ${LAB}`);
   const client = new HttpClient(at, 1, 64 << 20);
   return new Promise((resolve, reject) => {
     const call = { method, path, body: body === null ? null : JSON.stringify(body), timeoutMs: ASK_MS };
--- a/src/cli/lab-command.ts
+++ b/src/cli/lab-command.ts
@@ -5,6 +5,7 @@
 import { fileURLToPath } from 'node:url';
 import { defaults, Lab, type LabOptions, readLabOptions } from '../../packages/lab/src/index.ts';
 import { BadSettings } from '../protocol/settings.ts';
+import { parseHcl, readText } from './files.ts';
 import { askLab } from './lab-client.ts';
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
@@ -16,13 +17,10 @@
   data?: string;
 }
 
-async function optionsOf(f: LabFlags, read: (file: string) => string): Promise<LabOptions> {
+async function optionsOf(f: LabFlags): Promise<LabOptions> {
   let o = defaults();
   if (f.options !== undefined) {
-    const { parse } = await import('./hcl-parser.js');
-    const [parsed, error] = parse(read(f.options));
-    if (error !== null && error !== undefined) throw new BadSettings(`${f.options}: cannot be parsed as HCL`);
-    o = readLabOptions(f.options, parsed);
+    o = readLabOptions(f.options, await parseHcl(f.options, readText(f.options)));
   }
   if (f.port === undefined) return o;
   const port = Number(f.port);
@@ -40,8 +38,8 @@
 ];
 
 /** Runs until Ctrl-C, and takes all that it started with it. */
-export async function lab(f: LabFlags, read: (file: string) => string): Promise<void> {
-  const options = await optionsOf(f, read);
+export async function lab(f: LabFlags): Promise<void> {
+  const options = await optionsOf(f);
   const dir = f.dir ?? mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
   const log = (line: string): void => print(`${new Date().toISOString().slice(11, 19)}  ${line}`);
   const data = f.data === undefined ? {} : { data: f.data };
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,35 +1,20 @@
 #!/usr/bin/env node
 // The program: a thin shell over the library.
-import { readFileSync } from 'node:fs';
 import { Command } from 'commander';
 import type { Settings } from '../core/model.ts';
 import { HttpClient } from '../http/client.ts';
-import { isJobId } from '../protocol/job.ts';
 import { BadSettings, parseSettings } from '../protocol/settings.ts';
 import { openLog } from '../runtime/log.ts';
 import { Node } from '../runtime/node.ts';
+import { addrOf, jobIdOf, parseHcl, readText } from './files.ts';
 import { defaults, KEYS, type Options, readOptions } from './options.ts';
 
 const VERSION = '0.4.0';
 const ASK_MS = 3000;
 
-function readText(file: string): string {
-  try {
-    return readFileSync(file, 'utf8');
-  } catch (e) {
-    throw new BadSettings(`${file}: cannot be read: ${(e as NodeJS.ErrnoException).code ?? String(e)}`);
-  }
-}
-
 async function readHcl(file: string | undefined): Promise<Options> {
   if (file === undefined) return defaults();
-  const text = readText(file);
-  // The parser is several megabytes: loaded only when there is a file for it.
-  const { parse } = await import('./hcl-parser.js');
-  const [parsed, error] = parse(text);
-  // The parser's error object tells neither line nor reason.
-  if (error !== null && error !== undefined) throw new BadSettings(`${file}: cannot be parsed as HCL`);
-  return readOptions(file, parsed);
+  return readOptions(file, await parseHcl(file, readText(file)));
 }
 
 async function load(o: {
@@ -56,8 +41,7 @@
 
 /** Asks a running node and prints its answer; exits 1 when there is none or it is not 200. */
 function ask(addr: string, path: string): void {
-  if (!/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/.test(addr))
-    throw new BadSettings(`${addr}: a node's address looks like 10.0.0.1:8080`);
+  addrOf(addr, "a node's address looks like 10.0.0.1:8080");
   const client = new HttpClient(addr, 1, 1 << 20);
   client.call({ method: 'GET', path, body: null, timeoutMs: ASK_MS }, (r) => {
     client.close();
@@ -112,8 +96,7 @@
   .description('show the state of a job and what it awaits, asked of a node (10.0.0.1:8080)')
   .action(
     guarded((addr: string, id: string) => {
-      if (!isJobId(id)) throw new BadSettings(`${id}: a job id looks like run-000412`);
-      ask(addr, `/work/${id}`);
+      ask(addr, `/work/${jobIdOf(id)}`);
     }),
   );
 
@@ -171,7 +154,7 @@
   .option('--port <port>', 'port of the lab itself; 0 for a free one (7070)')
   .option('--dir <dir>', 'keep settings, logs and output there')
   .option('--data <dir>', 'keep the records there, and go on with them')
-  .action(inLab((c, f: Parameters<LabCommands['lab']>[0]) => c.lab(f, readText)));
+  .action(inLab((c, f: Parameters<LabCommands['lab']>[0]) => c.lab(f)));
 program
   .command('fault <kind>')
   .description('let something go wrong in a lab; docs/lab.md lists the kinds')
--- a/src/protocol/user.ts
+++ b/src/protocol/user.ts
@@ -75,3 +75,26 @@
     throw new InvalidMessage('the answer is not JSON');
   }
 }
+
+/** Fields of a job: what the wire calls them, and what we do where that differs. */
+const WORDS: Record<string, string> = {
+  jobclass: 'class',
+  owner: 'team',
+  shape: 'kind',
+  pieces: 'tasks',
+  cores: 'cpus',
+  accelerators: 'gpus',
+  bundle: 'image',
+  sizeGb: 'imageGb',
+  berthkinds: 'types',
+  yard: 'zone',
+  samePlace: 'oneZone',
+  scatter: 'spread',
+  loaners: 'spot',
+  guessS: 'estimateS',
+  snapshotS: 'checkpointS',
+  flushS: 'saveS',
+  dueS: 'deadlineS',
+};
+/** A message that begins with the wire's name of a field, with ours in its place. */
+export const inOurWords = (message: string): string => message.replace(/^\w+/, (w) => WORDS[w] ?? w);
