Back within a fraction of a second: answers, links and reports of a former self

Cause: questions between nodes were numbered from 1 at every start, and seeds came from name and clock; an answer to a former self was given to whoever asked under the same number since. A late greeting hid a vacancy; reports were sent round while the owner on record was a process started anew; a machine counting from the beginning had its lease renewed while its old tasks counted as running. Change: random numbers from system randomness, answers checked against their question, one link a node, denial parks reports, an owner that ended goes last, reports that are not newer are answered only if they are the same.

--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -188,6 +188,20 @@
     });
   }
 
+  /** Its machine was restarted within a moment: nothing is left on it, and it counts from the beginning. */
+  restart(): void {
+    this.drop();
+    this.results.clear();
+    this.session = 1;
+    this.seq = 0;
+    this.token = 0;
+    this.reportNo++;
+    this.inFlight = false;
+    this.leaseFrom = this.place.now;
+    this.changed = true;
+    this.arm();
+  }
+
   private newSession(): void {
     this.session++;
     this.lostByLease += this.live().length;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import { BadSettings, parseSettings } from '../protocol/settings.ts';
 import { openLog } from '../runtime/log.ts';
 import { Node } from '../runtime/node.ts';
+import { freshSeed } from '../runtime/random.ts';
 import { addrOf, jobIdOf, parseHcl, readText } from './files.ts';
 import { defaults, dispatchSettings, KEYS, type Options, readOptions } from './options.ts';
 
@@ -24,16 +25,12 @@
   return { settings: parseSettings(o.config, readText(o.config)), options: await readHcl(o.options) };
 }
 
-function seedOf(node: string): number {
-  return [...node].reduce((h, c) => (h * 31 + c.charCodeAt(0)) | 0, Date.now() | 0);
-}
-
 async function serve(o: { config: string; options?: string }): Promise<void> {
   const { settings, options } = await load(o);
   const log = openLog(settings.node, process.env.LOG_LEVEL);
   new Node(settings, {
     dispatch: dispatchSettings(options, settings.workers.reportS),
-    seed: seedOf(settings.node),
+    seed: freshSeed(),
     log,
   });
 }
--- a/src/core/base/io.ts
+++ b/src/core/base/io.ts
@@ -45,6 +45,9 @@
   below(n: number): number;
 }
 
+/** Questions to other nodes carry a number of 32 bits (peer.proto). */
+const ASKS = 2 ** 32;
+
 /** The core's side of every exchange: keeps the callback of each open request and collects effects. */
 export class Outbox {
   now = 0 as Instant;
@@ -53,6 +56,7 @@
   wall = 0 as WallTime;
   private effects: Effect[] = [];
   private nextTag = 1;
+  private nextAsk: number;
   private readonly open = new Map<number, (reply: never) => void>();
   /** Requests to the state service that were given up before they were sent; told in the next step. */
   private givenUp: ((reply: StateReply) => void)[] = [];
@@ -67,6 +71,9 @@
     addrs = { state: '', cloud: '' },
   ) {
     this.random = random;
+    // Counted from the same number at every start, an answer to what this node's former self had asked would be
+    // taken for the answer to something else: a node may be back before it comes.
+    this.nextAsk = random.below(ASKS);
     const log = (level: LogLevel, message: string, fields: Fields) => this.log(level, message, fields);
     this.stateReach = new Reach('state service', addrs.state, log);
     this.cloudReach = new Reach('cloud', addrs.cloud, log);
@@ -100,6 +107,12 @@
     this.emit({ kind: 'log', level, message, fields });
   }
 
+  /** Names a question to another node, which its answer repeats. */
+  askId(): number {
+    this.nextAsk = (this.nextAsk + 1) % ASKS;
+    return this.nextAsk;
+  }
+
   private tag(then: (reply: never) => void): number {
     const tag = this.nextTag++;
     this.open.set(tag, then);
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -68,7 +68,6 @@
   private readonly knowsFronts = new Set<NodeId>();
   private readonly forwarded = new Map<number, Forwarded>();
   private readonly timed = new Set<Timed>();
-  private nextAsk = 1;
 
   constructor(settings: Settings, options: DispatchSettings, random: Random) {
     this.settings = settings;
@@ -82,7 +81,7 @@
     this.balance = new Balance(this.io, settings.workers.reportS);
     this.intake = new Intake(this.io, settings, this.catalogue, this.lookup);
     const rank = settings.peers.filter((p) => p.node < settings.node).length;
-    this.leadership = new Leadership(this.io, settings.node, rank, {
+    this.leadership = new Leadership(this.io, settings.node, rank, settings.peers.length + 1, {
       onOwned: (term) => {
         this.io.stateBudget?.setOwner(true);
         this.balance.setOwner(true);
@@ -265,7 +264,7 @@
   private unpark(): void {
     const owner = this.leadership.owner;
     if (owner === null) return;
-    this.fronts.ownedBy(owner.node);
+    this.fronts.ownedBy(owner);
     const here = owner.node === this.settings.node;
     if (here ? this.share !== null && this.mayCommand() : this.peersUp.has(owner.node))
       this.fronts.unpark((r, answer, by) => this.report(r, answer, by));
@@ -355,7 +354,7 @@
   private forward(request: UserRequest, answer: (a: UserAnswer) => void): void {
     const owner = this.otherOwner;
     if (owner === null || !this.peersUp.has(owner.node)) return this.withoutOwner(request, answer);
-    const id = this.nextAsk++;
+    const id = this.io.askId();
     this.forwarded.set(id, {
       request,
       answer,
@@ -457,7 +456,11 @@
     const f = this.forwarded.get(id);
     if (f === undefined) return;
     this.forwarded.delete(id);
-    if (answer === null) this.withoutOwner(f.request, f.answer);
+    if (answer === null || !isAbout(answer, f.request)) this.withoutOwner(f.request, f.answer);
     else f.answer(answer);
   }
 }
+
+/** An answer names its job; one about another belongs to a question of this node's former self. */
+const isAbout = (a: UserAnswer, r: UserRequest): boolean =>
+  !('id' in a) || a.id === (r.op === 'submit' ? r.spec.id : r.id);
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -1,7 +1,8 @@
 // One machine: what is on it and queued for it, its room, and where the index of free room has it.
 import type { Attempt, Instant, JobId, MachineId, ZoneName } from '../../types/index.ts';
-import type { JobSpec, MachineType, TaskReport } from '../base/model.ts';
+import type { JobSpec, MachineType, Report, TaskReport } from '../base/model.ts';
 import type { Entry, Job } from '../jobs/job.ts';
+import { compare } from '../reports/listing.ts';
 import type { Resources } from '../teams/usage.ts';
 
 const EPS = 1e-9;
@@ -44,6 +45,8 @@
   seq = -1;
   /** The tasks of the report with this number, as it listed them. */
   listed: readonly TaskReport[] | null = null;
+  /** That report came as the answer to a probe. */
+  probed = false;
   /** All that was listed is known, and nothing has come or gone since: the same list again says nothing new. */
   plain = false;
   seenToken = 0;
@@ -94,6 +97,18 @@
     this.leaseEnds = leaseEnds;
   }
 
+  /**
+   * Whether a report that is not newer than the last that was read may be answered all the same: the very same one, come by
+   * another way, or one that the answer to a probe has overtaken. Any other is a late copy that nobody waits for, or of a
+   * worker that was started anew and counts from the beginning. Answered, that one's lease would be renewed while its tasks
+   * are taken to be running; and the node that passes it on would tell its next report as what has changed since it.
+   */
+  mayAnswer(r: Report): boolean {
+    if (r.session !== this.session) return false;
+    if (r.seq < this.seq) return this.probed;
+    return this.listed !== null && compare(this.listed, r.tasks).tasks === this.listed;
+  }
+
   get usable(): boolean {
     return (
       this.synced &&
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -107,8 +107,11 @@
     this.touch(m);
   }
 
-  /** Takes a report in; returns the commands that answer it, or null if it is from before what is known. */
-  report(m: Machine, r: Report): Command[] | null {
+  /**
+   * Takes a report in, or one that answers a probe; returns the commands that answer it, or null if it is from before what
+   * is known.
+   */
+  report(m: Machine, r: Report, probed = false): Command[] | null {
     if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return null;
     // Held back by a cut: sent in a session that is over for certain, it lists tasks that are long gone.
     if (r.session <= m.endedSession) return null;
@@ -123,6 +126,7 @@
     if (!m.plain || tasks !== m.listed) this.readTasks(m, tasks, r.seq);
     if (!m.empty) m.idleSince = this.io.now;
     m.listed = tasks;
+    m.probed = probed;
     if (r.token === this.token && !m.synced) {
       m.synced = true;
       this.io.log('debug', 'machine heard', { machine: m.id, tasks: m.entries.size });
--- a/src/core/membership/leadership.ts
+++ b/src/core/membership/leadership.ts
@@ -47,15 +47,22 @@
   private watching = false;
   private watchFrom: Revision | null = null;
   private unownedSince: Instant | null = null;
+  /** An owner under a revision up to this is over: the record has been read without one since. */
+  private overUpTo = 0 as Revision;
+  /** This node's former self ended as the owner: others, which did not end, go first. */
+  private endedAsOwner = false;
   private readonly io: Outbox;
   private readonly me: NodeId;
   private readonly rank: number;
+  private readonly nodes: number;
   private readonly host: LeadershipHost;
 
-  constructor(io: Outbox, me: NodeId, rank: number, host: LeadershipHost) {
+  /** `rank`: how many of the `nodes` stand before this one in the list. */
+  constructor(io: Outbox, me: NodeId, rank: number, nodes: number, host: LeadershipHost) {
     this.io = io;
     this.me = me;
     this.rank = rank;
+    this.nodes = nodes;
     this.host = host;
   }
 
@@ -77,7 +84,8 @@
 
   /** A peer says it owns the share under a revision; the larger revision is the later owner. */
   heard(node: NodeId, revision: Revision): void {
-    if (revision === 0) return;
+    // Said by a former self, and late: believed, nobody would look for the next owner.
+    if (revision <= this.overUpTo) return;
     if (this.owner !== null && revision <= this.owner.revision) return;
     this.owner = { node, revision };
     this.unownedSince = null;
@@ -117,7 +125,7 @@
     this.watchFrom = r.revision;
     const found = r.items.find((i) => i.key === OWNER_KEY);
     if (found !== undefined) this.see(found);
-    else this.vanish();
+    else this.vanish(r.revision);
     this.watch();
   }
 
@@ -134,7 +142,7 @@
     const put = r.puts.filter((i) => i.key === OWNER_KEY).at(-1);
     const dropped = r.drops.includes(OWNER_KEY);
     if (put !== undefined) this.see(put);
-    if (dropped && put === undefined) this.vanish();
+    if (dropped && put === undefined) this.vanish(r.revision);
     // Which of the two came last is not told: read again.
     if (dropped && put !== undefined) this.watchFrom = null;
     this.watch();
@@ -144,12 +152,14 @@
     const node = (item.value as { node?: NodeId }).node;
     if (node === undefined) return;
     this.unownedSince = null;
-    if (node === this.me && item.revision === this.term) return;
     if (node !== this.me) this.heard(node, item.revision);
-    // A key of this node's under another revision is an earlier process of it: its hold runs out by itself.
+    // A key of this node's under another revision is an earlier process of it, or a request of that process that came
+    // late: its hold runs out by itself.
+    else if (item.revision !== this.term) this.endedAsOwner = true;
   }
 
-  private vanish(): void {
+  private vanish(at: Revision): void {
+    this.overUpTo = Math.max(this.overUpTo, at) as Revision;
     if (this.term === null) this.owner = null;
     this.unownedSince ??= this.io.now;
   }
@@ -158,7 +168,7 @@
   private consider(): void {
     const { io } = this;
     if (this.unownedSince === null || this.busy || io.now < this.nextTry) return;
-    if (io.now - this.unownedSince < this.rank * TURN_MS) return;
+    if (io.now - this.unownedSince < this.turn * TURN_MS) return;
     this.busy = true;
     const sentAt = io.now;
     io.state({ kind: 'grant', ttlMs: HOLD_MS }, Rank.hold, (r) => {
@@ -167,6 +177,11 @@
     });
   }
 
+  /** How many go first. A node that ends as owner again and again must not take the share each time. */
+  private get turn(): number {
+    return this.rank + (this.endedAsOwner ? this.nodes : 0);
+  }
+
   private backOff(): void {
     this.busy = false;
     this.nextTry = later(this.io.now, RETRY_MS + this.io.random.below(500));
@@ -195,6 +210,7 @@
     this.hold = hold;
     this.owner = { node: this.me, revision: term };
     this.unownedSince = null;
+    this.endedAsOwner = false;
     this.confirm(sentAt);
     this.nextExtend = LONG_AGO;
     this.io.log('info', 'term taken', { term });
--- a/src/core/reports/fronts.ts
+++ b/src/core/reports/fronts.ts
@@ -12,6 +12,7 @@
 } from '../../types/index.ts';
 import type { Outbox } from '../base/io.ts';
 import type { FrontAnswer, FrontReport, Report, WorkerAnswer } from '../base/model.ts';
+import type { OwnerRecord } from '../membership/leadership.ts';
 import { type Change, compare } from './listing.ts';
 import { Parking } from './parking.ts';
 
@@ -55,17 +56,19 @@
 const OUT_OF_REACH_MS = 6000;
 /** Nodes say something every second; one heard within this is alive. */
 const ALIVE_MS = 2500;
+/** A node that has just denied owning the share is not asked again for this long, unless it is owner anew. */
+const DENIED_MS = 1000;
 
 export class Fronts {
   private readonly open = new Map<number, Open>();
   private readonly read = new Map<MachineId, Read>();
   private readonly parked: Parking;
-  private nextId = 1;
   private strikes = 0;
   private restUntil: Instant = LONG_AGO;
   private nextTidy = 0 as Instant;
   /** The owner as far as this node knows. */
-  private owner: NodeId | null = null;
+  private owner: OwnerRecord | null = null;
+  private deniedUntil: Instant = LONG_AGO;
   private readonly lostAt = new Map<NodeId, Instant>();
   private readonly heardAt = new Map<NodeId, Instant>();
 
@@ -78,14 +81,22 @@
     return this.io.now >= this.restUntil;
   }
 
-  /** The link is up but silent, and was not used lately for that: whoever owns the share is known within seconds. */
+  /**
+   * The link is up but silent, and was not used lately for that; or the node has said that it does not own the share, as it
+   * was started anew within a fraction of a second and its former self's hold still stands. Whoever owns the share is known
+   * within seconds.
+   */
   mayHaveEnded(owner: NodeId): boolean {
-    return !this.usable && this.silentMs(owner) < OUT_OF_REACH_MS;
+    return this.denied || (!this.usable && this.silentMs(owner) < OUT_OF_REACH_MS);
+  }
+
+  private get denied(): boolean {
+    return this.io.now < this.deniedUntil;
   }
 
   /** `by`: when its worker must be answered, if it has waited before. */
   report(r: Report, owner: NodeId, answer: Answer, by: Instant = NEVER): void {
-    const id = this.nextId++;
+    const id = this.io.askId();
     const last = this.read.get(r.machine);
     const builds = last !== undefined && last.owner === owner && follows(r, last.report);
     const compared = builds ? compare(last.report.tasks, r.tasks) : null;
@@ -109,11 +120,18 @@
       return this.send(id, o.owner, { whole: o.report });
     }
     this.open.delete(id);
-    if (a === null || a.kind === 'whole') return o.answer({ kind: 'elsewhere', node: null });
+    if (a === null) return this.deny(o);
+    if (a.kind === 'whole') return o.answer({ kind: 'elsewhere', node: null });
     if (a.kind === 'orders') this.remember(o);
     o.answer(a);
   }
 
+  /** Sent round, the worker would come back a second later, on a new connection, and still find no owner. */
+  private deny(o: Open): void {
+    if (o.owner === this.owner?.node) this.deniedUntil = later(this.io.now, DENIED_MS);
+    this.park(o.report, o.answer, o.deadline);
+  }
+
   private remember(o: Open): void {
     const { report, owner } = o;
     const last = this.read.get(report.machine);
@@ -128,6 +146,7 @@
 
   /** An owner can be reached, or this node has become it: what waited is handled as if it came now. */
   unpark(handle: (r: Report, answer: Answer, by: Instant) => void): void {
+    if (this.denied) return;
     for (const p of this.parked.take()) handle(p.report, p.answer, p.until);
   }
 
@@ -135,12 +154,13 @@
    * There is another owner: what the one before has not answered, and perhaps never will, waits for this one. A link to
    * an owner that stands still, or is cut off, tells nothing by itself.
    */
-  ownedBy(owner: NodeId): void {
-    if (owner === this.owner) return;
+  ownedBy(owner: OwnerRecord): void {
+    if (owner.node === this.owner?.node && owner.revision === this.owner.revision) return;
     this.owner = owner;
     this.strikes = 0;
     this.restUntil = LONG_AGO;
-    this.repark((o) => o.owner !== owner);
+    this.deniedUntil = LONG_AGO;
+    this.repark((o) => o.owner !== owner.node);
   }
 
   private repark(which: (o: Open) => boolean): void {
--- a/src/core/reports/relay.ts
+++ b/src/core/reports/relay.ts
@@ -21,7 +21,6 @@
   /** Since when each machine's reports are passed on. */
   private readonly relaying = new Map<MachineId, Instant>();
   private readonly open = new Map<number, Open>();
-  private nextId = 1;
   private readonly io: Outbox;
 
   constructor(io: Outbox) {
@@ -34,7 +33,7 @@
       this.sentOn.set(r.machine, this.io.now);
       return answer({ kind: 'elsewhere', node: owner?.node ?? null });
     }
-    const id = this.nextId++;
+    const id = this.io.askId();
     this.open.set(id, { answer, deadline: later(this.io.now, PATIENCE_MS) });
     this.io.emit({ kind: 'peer', node: owner.node, message: { kind: 'relay', id, report: r } });
   }
--- a/src/core/share/recovery.ts
+++ b/src/core/share/recovery.ts
@@ -208,7 +208,7 @@
       // one of them may still be under way when this reply is made.
       if (r.kind !== 'report' || this.machines.all.get(m.id) !== m || m.synced) return;
       const known = m.session;
-      this.machines.report(m, r.report);
+      this.machines.report(m, r.report, true);
       // The session was another: ask again at once with the right one.
       if (!r.executed && r.report.session !== known) this.probedAt.delete(m.id);
     });
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -274,7 +274,8 @@
     this.release(m);
     const commands = this.machines.report(m, r);
     if (commands === null) {
-      // Older than what is known: its task list says nothing, and its worker has given up waiting.
+      // Older than what is known: its task list says nothing, and its worker has mostly given up waiting.
+      if (!m.mayAnswer(r)) return answer({ kind: 'elsewhere', node: null });
       this.machines.answered(m);
       return answer({ kind: 'orders', token, commands: [] });
     }
--- a/src/runtime/peers.ts
+++ b/src/runtime/peers.ts
@@ -84,7 +84,8 @@
   constructor(settings: Settings, host: PeersHost, turns: Turns, onError: (e: Error) => void) {
     const { host: bind, port } = splitAddr(settings.peerListen);
     const names = new Set(settings.peers.map((p) => p.node));
-    createServer({ noDelay: true }, (socket) => listen(socket, names, host, turns))
+    const newest = new Newest<Socket>();
+    createServer({ noDelay: true }, (socket) => listen(socket, names, host, turns, newest))
       .on('error', onError)
       .listen({ host: bind, port });
     for (const p of settings.peers) this.links.set(p.node, new Link(p.node, p.addr, host));
@@ -95,9 +96,38 @@
   }
 }
 
+/**
+ * Of each node the link that was made last. A node may be back within a fraction of a second, while what its former self
+ * said is still on its way: nothing of that is heard after the new one has spoken.
+ */
+export class Newest<L> {
+  private made = 0;
+  private readonly byNode = new Map<NodeId, { link: L; at: number }>();
+
+  /** Numbers links in the order in which they were made. */
+  number(): number {
+    return ++this.made;
+  }
+
+  /** Link number `at` says that it is the node's; the one that is not heard from now on, or null. */
+  greeted(node: NodeId, link: L, at: number): L | null {
+    const known = this.byNode.get(node);
+    if (known !== undefined && known.at > at) return link;
+    this.byNode.set(node, { link, at });
+    return known === undefined || known.link === link ? null : known.link;
+  }
+}
+
 /** An incoming link: its first message says who speaks. */
-function listen(socket: Socket, names: Set<NodeId>, host: PeersHost, turns: Turns): void {
+function listen(
+  socket: Socket,
+  names: Set<NodeId>,
+  host: PeersHost,
+  turns: Turns,
+  newest: Newest<Socket>,
+): void {
   const decoder = new PeerDecoder();
+  const at = newest.number();
   let node: NodeId | null = null;
   const guarded = (work: () => void): void => {
     try {
@@ -109,7 +139,12 @@
   const take = (frame: Buffer): void => {
     const m = decodeFrame(frame);
     if (m === null) return;
-    if (m.kind === 'hello' && names.has(m.node)) node = m.node;
+    if (socket.destroyed) return;
+    if (m.kind === 'hello' && names.has(m.node)) {
+      node = m.node;
+      newest.greeted(node, socket, at)?.destroy();
+      if (socket.destroyed) return;
+    }
     if (node === null) return void socket.destroy();
     host.message(node, m);
   };
--- a/test/fronts.test.ts
+++ b/test/fronts.test.ts
@@ -9,7 +9,7 @@
 import { apply, compare } from '../src/core/reports/listing.ts';
 import type { Share } from '../src/core/share/share.ts';
 import { seeded } from '../src/runtime/random.ts';
-import type { Attempt, Instant, MachineId, NodeId, TaskId, WallTime } from '../src/types/index.ts';
+import type { Attempt, Instant, MachineId, NodeId, Revision, TaskId, WallTime } from '../src/types/index.ts';
 import { job, World } from './support/world.ts';
 
 const shareOf = (w: World): Share => w.nodes.get(w.owner!)!.share!;
@@ -261,7 +261,7 @@
     }
     let to: NodeId | null = null;
     at(-4000);
-    fronts.ownedBy(owner!);
+    fronts.ownedBy({ node: owner!, revision: 1 as Revision });
     fronts.report(report, owner!, (a) => {
       to = a.kind === 'elsewhere' ? a.node : null;
     });
--- /dev/null
+++ b/test/restarts.test.ts
@@ -0,0 +1,229 @@
+// Processes and machines that are back within a fraction of a second, late copies of what their former selves said, and
+// repeats of what was carried out (docs/safety.md, point 13).
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Outbox } from '../src/core/base/io.ts';
+import type { PeerMessage, UserAnswer } from '../src/core/base/model.ts';
+import { Newest } from '../src/runtime/peers.ts';
+import { freshSeed, seeded } from '../src/runtime/random.ts';
+import type { JobId, NodeId, Revision } from '../src/types/index.ts';
+import { job, World } from './support/world.ts';
+
+const quiet = (w: World) => assert.deepEqual(w.broken, []);
+const NODES = ['node-0', 'node-1', 'node-2'];
+/** Ends the node and starts it again a moment later. */
+const bounce = (w: World, name: string, seconds = 0.2): void => {
+  w.crash(name);
+  w.run(seconds);
+  w.start(name);
+};
+
+test('two starts of a node number what they ask differently, though clock and settings are the same', () => {
+  const { now } = Date;
+  Date.now = () => 1e12;
+  const seeds = new Set(Array.from({ length: 20 }, () => freshSeed()));
+  Date.now = now;
+  assert.ok(seeds.size > 15);
+  const first = (seed: number): number => new Outbox(seeded(seed)).askId();
+  assert.equal(first(5), first(5));
+  assert.notEqual(first(5), first(6));
+});
+
+test('an answer to what a former self asked is not taken for the answer to something else', () => {
+  const w = new World();
+  w.runS = 3;
+  w.submit(job('run-1'));
+  assert.ok(w.until(() => w.isDone('run-1')));
+  w.runS = 60;
+  w.submit(job('run-2'));
+  w.run(2);
+  const front = NODES.find((n) => n !== w.owner)!;
+  const late: PeerMessage[] = [];
+  w.tapPeer = (m) => {
+    if (m.kind === 'reply') late.push(m);
+    return m.kind !== 'reply';
+  };
+  w.ask(front, { op: 'status', id: 'run-2' as JobId });
+  w.ask(front, { op: 'submit', spec: job('run-3') });
+  w.run(0.1);
+  const { owner } = w;
+  bounce(w, front);
+  w.run(0.5);
+  // Asked anew under whatever numbers, it is never told of the other job; nor under the very same number.
+  const asked: number[] = [];
+  w.tapPeer = (m) => {
+    if (m.kind === 'ask') asked.push(m.id);
+    return m.kind !== 'ask';
+  };
+  const box = w.ask(front, { op: 'cancel', id: 'run-2' as JobId });
+  w.run(0.05);
+  assert.equal(asked.length, 1);
+  const done: UserAnswer = { kind: 'ended', id: 'run-1' as JobId, status: 'done' };
+  for (const m of late) w.input(front, { kind: 'peer', node: owner as NodeId, message: m });
+  w.input(front, {
+    kind: 'peer',
+    node: owner as NodeId,
+    message: { kind: 'reply', id: asked[0]!, answer: done },
+  });
+  w.tapPeer = null;
+  w.run(4);
+  assert.ok(late.length > 0);
+  assert.equal(box.answer?.kind, 'retry');
+  quiet(w);
+});
+
+test('an owner that is back at once neither hangs nor takes the share before its former self’s hold is over', () => {
+  const w = new World();
+  w.runS = 20;
+  w.submit(job('run-1', { tasks: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(3);
+  const first = w.owner!;
+  const term = w.nodes.get(first)!.leadership.term!;
+  bounce(w, first);
+  const since = w.now;
+  assert.ok(w.until(() => w.owner !== undefined, 10));
+  assert.ok(w.now - since < 4500, `${w.now - since}`);
+  assert.ok(w.nodes.get(w.owner!)!.leadership.term! > term);
+  // One that ends as the owner again and again would be the first in the list each time.
+  assert.notEqual(w.owner, first);
+  assert.ok(w.until(() => w.isDone('run-1', w.owner), 60));
+  assert.equal(
+    [...w.workers.values()].reduce((n, x) => n + x.lostByLease, 0),
+    0,
+  );
+  quiet(w);
+});
+
+test('owners that end one after the other, each back at once, leave work running and are served between their ends', () => {
+  const w = new World();
+  w.runS = 40;
+  w.submit(job('run-1', { tasks: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(3);
+  let accepted = 0;
+  for (let i = 2; i < 8; i++) {
+    assert.ok(w.until(() => w.owner !== undefined, 10));
+    // In the middle of what it reads, now and then.
+    w.run(i % 2 === 0 ? 0.05 : 1);
+    bounce(w, w.owner!, 0.1 + 0.1 * (i % 4));
+    if (w.submit(job(`run-${i}`), NODES[i % 3])?.kind === 'accepted') accepted++;
+  }
+  assert.equal(accepted, 6);
+  for (let i = 1; i < 8; i++)
+    assert.ok(
+      w.until(() => w.isDone(`run-${i}`), 120),
+      `run-${i}`,
+    );
+  assert.equal(
+    [...w.workers.values()].reduce((n, x) => n + x.starts, 0),
+    14,
+  );
+  quiet(w);
+});
+
+test('reports wait while the owner on record was started anew, rather than sending all workers round', () => {
+  const w = new World();
+  w.runS = 60;
+  w.submit(job('run-1', { tasks: 24 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(4);
+  const before = [...w.workers.values()].reduce((n, x) => n + x.moves, 0);
+  const { owner } = w;
+  const there = [...w.workers.values()].filter((x) => x.node === owner).length;
+  bounce(w, owner!, 0.1);
+  assert.ok(w.until(() => w.owner !== undefined, 10));
+  w.run(2);
+  const moves = [...w.workers.values()].reduce((n, x) => n + x.moves, 0) - before;
+  // Those at the node that ended lose their connection; the others stay.
+  assert.ok(moves <= there + 1, `${moves} moves, ${there} workers at the owner`);
+  quiet(w);
+});
+
+test('a greeting that a former self sent as the owner, and that comes late, hides no vacancy', () => {
+  const w = new World();
+  w.submit(job('run-1'));
+  w.run(3);
+  const owner = w.owner!;
+  const term = w.nodes.get(owner)!.leadership.term!;
+  for (const n of NODES) if (n !== owner) w.crash(n);
+  w.crash(owner);
+  w.run(6);
+  const other = NODES.find((n) => n !== owner)!;
+  w.start(other);
+  const hello: PeerMessage = {
+    kind: 'hello',
+    node: owner as NodeId,
+    owner: term,
+    chains: true,
+    fronts: true,
+  };
+  // Between its reading that there is none and its taking the share.
+  assert.ok(w.until(() => w.nodes.get(other)!.leadership.readsRecord, 2));
+  w.input(other, { kind: 'peer', node: owner as NodeId, message: hello });
+  assert.ok(w.until(() => w.owner === other, 5));
+  assert.ok((w.nodes.get(other)!.leadership.owner!.revision as Revision) > term);
+});
+
+test('of the links that a node has made only the last is heard', () => {
+  const newest = new Newest<string>();
+  const [a, b, c] = [newest.number(), newest.number(), newest.number()];
+  const node = 'node-1' as NodeId;
+  assert.equal(newest.greeted(node, 'first', a), null);
+  assert.equal(newest.greeted(node, 'third', c), 'first');
+  // Made before, heard after: it is the former self's.
+  assert.equal(newest.greeted(node, 'second', b), 'second');
+  assert.equal(newest.greeted(node, 'third', c), null);
+  assert.equal(newest.greeted('node-2' as NodeId, 'other', b), null);
+});
+
+test('a machine that is back at once, counting from the beginning, is known to be empty once its lease is over', () => {
+  const w = new World();
+  w.runS = 30;
+  w.submit(job('run-1', { tasks: 4, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 0));
+  w.run(12);
+  const worker = [...w.workers.values()].find((x) => x.live().length > 0)!;
+  assert.ok(worker.seq > 10);
+  worker.restart();
+  assert.ok(w.until(() => w.isDone('run-1'), 80));
+  quiet(w);
+});
+
+test('a submission, a cancellation and a question repeated after they were carried out change nothing', () => {
+  const w = new World();
+  w.runS = 3;
+  w.submit(job('run-1', { tasks: 2 }));
+  w.submit(job('run-2', { kind: 'service', tasks: 2 }));
+  assert.ok(w.until(() => w.isDone('run-1')));
+  assert.deepEqual(w.insist({ op: 'cancel', id: 'run-2' as JobId }), {
+    kind: 'ended',
+    id: 'run-2',
+    status: 'cancelled',
+  });
+  w.run(5);
+  const starts = [...w.workers.values()].reduce((n, x) => n + x.starts, 0);
+  for (const n of NODES) bounce(w, n, 0.1);
+  for (const node of NODES) {
+    assert.deepEqual(w.submit(job('run-1', { tasks: 2 }), node), {
+      kind: 'known',
+      id: 'run-1',
+      status: 'done',
+    });
+    assert.deepEqual(w.insist({ op: 'cancel', id: 'run-1' as JobId }, node), {
+      kind: 'ended',
+      id: 'run-1',
+      status: 'done',
+    });
+    assert.equal(
+      (w.submit(job('run-2', { kind: 'service', tasks: 2 }), node) as { status?: string }).status,
+      'cancelled',
+    );
+  }
+  w.run(20);
+  assert.equal(
+    [...w.workers.values()].reduce((n, x) => n + x.starts, 0),
+    starts,
+  );
+  quiet(w);
+});
