Machines go on record before acceptances: those up at the start stood idle for 40 s

Cause: nothing starts on a machine before its page is written, and pages waited behind all acceptances of the burst: 197 idle machines beside 655 waiting replicas until 50 s.

--- a/src/core/machines/roster.ts
+++ b/src/core/machines/roster.ts
@@ -15,8 +15,13 @@
 import type { Machine } from './machine.ts';
 
 export const MACHINE = 'm/';
-/** Pages are begun no more often than this; machines that come up meanwhile share the next. */
+/**
+ * Pages are begun no more often than this; machines that come up meanwhile share the next. While much else waits to be
+ * written, less often, as they go before it.
+ */
 const GATHER_MS = 200;
+const GATHER_MS_PER_WRITE = 10;
+const GATHER_MAX_MS = 700;
 /** Machines that are gone leave their page within this. */
 const TIDY_MS = 1000;
 /** A page's own part of the value. */
@@ -103,7 +108,8 @@
   }
 
   private begin(): void {
-    if (this.gathering.length === 0 || this.io.now - this.begunAt < GATHER_MS) return;
+    const gap = Math.min(GATHER_MAX_MS, GATHER_MS + this.store.backlog * GATHER_MS_PER_WRITE);
+    if (this.gathering.length === 0 || this.io.now - this.begunAt < gap) return;
     this.begunAt = this.io.now;
     const all = this.gathering.map((machine) => ({ line: lineOf(machine), machine }));
     const batch = this.upToRoom(all);
--- a/src/core/record/store.ts
+++ b/src/core/record/store.ts
@@ -30,8 +30,12 @@
   alone?: boolean;
 }
 
-/** Cancels and acceptances have users waiting; final states that others await and machines on record have tasks waiting. */
-export const Priorities = { cancel: 0, accept: 1, needed: 2, roster: 3, final: 4, record: 5 } as const;
+/**
+ * Cancels and acceptances have users waiting; final states that others await and machines on record have tasks waiting.
+ * Machines go before acceptances: one change puts up to a few hundred on record, and nothing starts on them before; behind
+ * the acceptances of a burst they stood idle until the last job was accepted.
+ */
+export const Priorities = { cancel: 0, roster: 1, accept: 2, needed: 3, final: 4, record: 5 } as const;
 
 const MAX_BYTES = 48 * 1024;
 const RETRY_MS = 250;
