--- a/src/core/placement/dispatch.ts
+++ b/src/core/placement/dispatch.ts
@@ -211,8 +211,8 @@
   private belowThreshold(job: Job, pools: Pool[], avoid: ReadonlySet<string> | null): Machine | null {
     const best = new Lowest();
     for (const pool of pools) {
-      if (this.fit.wasteful(job, pool.type)) continue;
-      const score = this.fit.typeScore(job, pool.type);
+      if (this.fit.wasteful(job, pool)) continue;
+      const score = this.fit.typeScore(job, pool);
       sample(pool.usable, LOOK, this.io.random, (m) => {
         this.looked++;
         if (m.queue.length >= this.options.threshold || avoid?.has(m.id) || this.gather.keptFrom(m, job))
--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -3,7 +3,7 @@
 import type { TypeName } from '../../types/index.ts';
 import type { JobSpec, MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
-import type { Machine } from '../machines/machine.ts';
+import type { Machine, Pool } from '../machines/machine.ts';
 import type { Rooms } from '../machines/rooms.ts';
 
 interface Shape {
@@ -12,6 +12,10 @@
   memoryGb: number;
   types: TypeName[] | null;
   value: number;
+  /** The highest priority among the class's jobs that wait; its own if none does. */
+  priority: number;
+  /** Whether it may run on spot machines. */
+  spot: boolean;
 }
 interface Room {
   cpus: number;
@@ -35,6 +39,7 @@
 
 export class Fit {
   private shapes: Shape[] = [];
+  private leastPriority = 0;
   private readonly types: Map<TypeName, MachineType>;
   private readonly values = new Map<string, number>();
   private readonly bases = new Map<string, number>();
@@ -57,23 +62,29 @@
    * wait only as far as tasks of it are expected soon; kept beyond that, it would stand empty and be paid for.
    */
   refresh(jobs: Iterable<Job>, rooms: Rooms, expected: (cls: string) => number): void {
-    const sums = new Map<string, { spec: JobSpec; n: number; waiting: boolean; room: Room }>();
+    const sums = new Map<
+      string,
+      { spec: JobSpec; n: number; waiting: boolean; priority: number; room: Room }
+    >();
     for (const j of jobs) {
       if (j.cancelled) continue;
       const s = sums.get(j.spec.class) ?? {
         spec: j.spec,
         n: 0,
         waiting: false,
+        priority: 0,
         room: { cpus: 0, gpus: 0, memoryGb: 0 },
       };
       s.n++;
       s.waiting ||= j.wanting > 0;
+      if (j.wanting > 0) s.priority = Math.max(s.priority, j.priority);
       s.room.cpus += j.spec.cpus;
       s.room.gpus += j.spec.gpus;
       s.room.memoryGb += j.spec.memoryGb;
       sums.set(j.spec.class, s);
     }
     this.values.clear();
+    this.leastPriority = 3;
     this.shapes = [];
     for (const [cls, s] of sums) {
       const mean = { cpus: s.room.cpus / s.n, gpus: s.room.gpus / s.n, memoryGb: s.room.memoryGb / s.n };
@@ -81,7 +92,10 @@
       this.bases.set(cls, this.cheapest(mean, s.spec.types));
       this.values.set(cls, value);
       const kept = s.waiting ? 1 : freeSlots(rooms, s.spec, mean, expected(cls)) ? 0 : NOT_WAITING;
-      this.shapes.push({ ...mean, types: s.spec.types, value: value * kept });
+      const { types, spot } = s.spec;
+      const priority = s.waiting ? s.priority : s.spec.priority;
+      this.leastPriority = Math.min(this.leastPriority, priority);
+      this.shapes.push({ ...mean, types, spot, priority, value: value * kept });
     }
   }
 
@@ -97,8 +111,8 @@
   }
 
   /** Whether the job's tasks do not suit the type even on an empty machine. */
-  wasteful(job: Job, type: MachineType): boolean {
-    return this.typeScore(job, type) > WASTEFUL;
+  wasteful(job: Job, pool: Pool): boolean {
+    return this.typeScore(job, pool) > WASTEFUL;
   }
 
   /** The lowest price at which such a task could run. */
@@ -122,9 +136,11 @@
     return Number.isFinite(best) ? best : 0;
   }
 
-  private worth(room: Room, type: TypeName): number {
+  /** `spot`: the room is on a spot machine. */
+  private worth(room: Room, type: TypeName, spot: boolean, priority: number): number {
     let best = 0;
     for (const s of this.shapes) {
+      if (s.priority < priority || (spot && !s.spot)) continue;
       if (s.types !== null && !s.types.includes(type)) continue;
       best = Math.max(best, count(room, s) * s.value);
     }
@@ -133,9 +149,15 @@
 
   /** Lower is better; infinite when the task would displace work worth much more than itself. */
   score(job: Job, m: Machine): number {
-    const cost = this.cost(job, m.type, freeRoom(m));
+    const room = freeRoom(m);
+    // Work is not kept from a machine for the sake of what is less urgent: services found 197 machines standing idle,
+    // each worth more to a gang of lower priority.
+    const kept = this.cost(job, m.type, room, m.spot, job.priority);
+    if (kept > WASTEFUL) return Number.POSITIVE_INFINITY;
+    // Among those it may take, still the one that is worth least to all others.
+    const cost =
+      job.priority <= this.leastPriority ? kept : this.cost(job, m.type, room, m.spot, this.leastPriority);
     // A fetch displaces nobody: however long, it must not keep a task from a machine that stands idle.
-    if (cost > WASTEFUL) return Number.POSITIVE_INFINITY;
     const spare = Math.max(0, m.freeCpus - job.spec.cpus) / m.type.cpus;
     const suits = cost + this.fetchPenalty(job, m) + spare * LOOSE + this.dearness(job, m);
     return suits + this.fetchDelay(job, m) + this.lateness(job, m);
@@ -166,11 +188,12 @@
   }
 
   /** The same for the machine when empty: says how well its type suits. */
-  typeScore(job: Job, type: MachineType): number {
-    return this.cost(job, type, type);
+  typeScore(job: Job, { type, spot }: Pool): number {
+    return this.cost(job, type, type, spot, job.priority);
   }
 
-  private cost(job: Job, type: MachineType, room: Room): number {
+  /** What the room is worth less with the task in it, to work of at least this priority, in tasks of its own class. */
+  private cost(job: Job, type: MachineType, room: Room, spot: boolean, priority: number): number {
     const own = this.values.get(job.spec.class) ?? 0;
     if (own === 0) return 0;
     const left = {
@@ -178,7 +201,8 @@
       gpus: room.gpus - job.spec.gpus,
       memoryGb: room.memoryGb - job.spec.memoryGb,
     };
-    return (this.worth(room, type.name) - this.worth(left, type.name)) / own;
+    const worth = (r: Room): number => this.worth(r, type.name, spot, priority);
+    return (worth(room) - worth(left)) / own;
   }
 
   private fetchPenalty(job: Job, m: Machine): number {
--- a/src/core/placement/gather.ts
+++ b/src/core/placement/gather.ts
@@ -82,7 +82,7 @@
     const found: { m: Machine; pool: Pool; eta: number }[] = [];
     for (const pool of this.rooms.pools.values()) {
       if (!pool.admits(job.spec) || (zone !== null && pool.zone !== zone)) continue;
-      if (this.fit.wasteful(job, pool.type)) continue;
+      if (this.fit.wasteful(job, pool)) continue;
       sample(pool.usable, LOOK * missing, this.io.random, (m) => {
         this.looked++;
         if (this.holds.has(m) || job.failedOn.has(m.id)) return;
