--- a/src/core/teams/quota.ts
+++ b/src/core/teams/quota.ts
@@ -62,9 +62,12 @@
   withinGuarantee(job: Job): boolean {
     const t = this.teams.get(job.spec.team);
     if (t === undefined) return false;
-    const u = this.used(job.spec.team);
-    const cpus = t.cpus > 0 && u.cpus + job.spec.cpus <= t.cpus + EPS;
-    const gpus = job.spec.gpus === 0 || (t.gpus > 0 && u.gpus + job.spec.gpus <= t.gpus + EPS);
+    const { spec } = job;
+    const u = this.used(spec.team);
+    // What lacks nothing but accelerators is guaranteed by them alone where no CPUs are.
+    if (t.cpus <= 0 && (t.gpus <= 0 || spec.gpus <= 0)) return false;
+    const cpus = t.cpus <= 0 || u.cpus + spec.cpus <= t.cpus + EPS;
+    const gpus = spec.gpus === 0 || (t.gpus > 0 && u.gpus + spec.gpus <= t.gpus + EPS);
     return cpus && gpus;
   }
 }
