--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -183,6 +183,7 @@
     for (const job of this.demand()) {
       const n = Math.min(job.waiting + job.queued, this.teamRoom(job));
       if (isGang(job.spec)) this.provideGang(job, n, free, need);
+      else if (job.spec.spread && job.spec.tasks > 1) this.provideSpread(job, n, free, need);
       else this.provide(job, n, null, free, need);
     }
     for (const spare of this.warm.spares((job) => readyTimeS(this.types.values(), job.spec)))
@@ -211,6 +212,32 @@
     if (left > 0) this.rentFor(job, left, zone, free, need);
   }
 
+  /**
+   * Half of the tasks at most, rounded up, may be in one zone: room in a zone that has its part already is none, and taken
+   * for some it kept machines from being rented where they could be used.
+   */
+  private provideSpread(job: Job, n: number, free: Supply, need: Map<string, Request[]>): void {
+    this.provide(job, Math.min(n, job.queued), null, free, need);
+    let left = n - job.queued;
+    const most = Math.ceil(job.spec.tasks / 2);
+    const offers = this.offers(job);
+    const zones = job.spec.zone !== null ? [job.spec.zone] : this.allZones();
+    const rooms = new Map(zones.map((z) => [z, most - (job.zones.get(z) ?? 0)]));
+    for (const [zone, room] of rooms) {
+      if (left <= 0 || room <= 0) continue;
+      const used = free.use(job, Math.min(left, room), zone, this.wanted);
+      rooms.set(zone, room - used);
+      left -= used;
+    }
+    for (const { zone } of offers) {
+      const tasks = Math.min(left, rooms.get(zone) ?? 0);
+      if (tasks <= 0) continue;
+      this.rentFor(job, tasks, zone, free, need);
+      rooms.set(zone, 0);
+      left -= tasks;
+    }
+  }
+
   /** Room for gangs is kept in pieces that hold the largest of them, each in one zone. */
   private provideSpare(
     s: { job: Job; tasks: number; most: number },
