--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -58,26 +58,33 @@
   }
 
   /**
-   * One shape a class of the open jobs: the mean of what its tasks take. Room is kept for a class of which none
-   * wait only as far as tasks of it are expected soon; kept beyond that, it would stand empty and be paid for.
+   * One shape a class of the open jobs: the mean of what its tasks take. Room is kept for a class only as far as tasks of it
+   * wait or are expected soon; kept beyond that, it would stand empty and be paid for.
    */
-  refresh(jobs: Iterable<Job>, rooms: Rooms, expected: (cls: string) => number): void {
+  refresh(
+    jobs: Iterable<Job>,
+    rooms: Rooms,
+    expected: (cls: string) => number,
+    allows: (job: Job) => number,
+  ): void {
     const sums = new Map<
       string,
-      { spec: JobSpec; n: number; waiting: boolean; priority: number; room: Room }
+      { spec: JobSpec; n: number; wanted: number; priority: number; room: Room }
     >();
     for (const j of jobs) {
       if (j.cancelled) continue;
       const s = sums.get(j.spec.class) ?? {
         spec: j.spec,
         n: 0,
-        waiting: false,
+        wanted: 0,
         priority: 0,
         room: { cpus: 0, gpus: 0, memoryGb: 0 },
       };
       s.n++;
-      s.waiting ||= j.wanting > 0;
-      if (j.wanting > 0) s.priority = Math.max(s.priority, j.priority);
+      // What waits for its team's limit alone would not take the room.
+      const wanted = j.wanting === 0 ? 0 : Math.min(j.wanting, allows(j));
+      s.wanted += wanted;
+      if (wanted > 0) s.priority = Math.max(s.priority, j.priority);
       s.room.cpus += j.spec.cpus;
       s.room.gpus += j.spec.gpus;
       s.room.memoryGb += j.spec.memoryGb;
@@ -91,9 +98,10 @@
       const value = this.valueOf(mean, s.spec.types);
       this.bases.set(cls, this.cheapest(mean, s.spec.types));
       this.values.set(cls, value);
-      const kept = s.waiting ? 1 : freeSlots(rooms, s.spec, mean, expected(cls)) ? 0 : NOT_WAITING;
+      const least = s.wanted > 0 ? 1 : NOT_WAITING;
+      const kept = freeSlots(rooms, s.spec, mean, s.wanted + expected(cls)) ? 0 : least;
       const { types, spot } = s.spec;
-      const priority = s.waiting ? s.priority : s.spec.priority;
+      const priority = s.wanted > 0 ? s.priority : s.spec.priority;
       this.leastPriority = Math.min(this.leastPriority, priority);
       this.shapes.push({ ...mean, types, spot, priority, value: value * kept });
     }
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -219,8 +219,11 @@
     if (!mayCommand) return this.close();
     if (this.io.now >= this.nextFit) {
       this.nextFit = later(this.io.now, FIT_MS);
-      this.fit.refresh(this.jobs.open.values(), this.rooms, (cls) =>
-        this.fleet.warm.expected(cls, KEEP_FOR_MS),
+      this.fit.refresh(
+        this.jobs.open.values(),
+        this.rooms,
+        (cls) => this.fleet.warm.expected(cls, KEEP_FOR_MS),
+        (job) => this.quota.allows(job),
       );
       // Waits, take-backs and backed-off jobs fall due without any input.
       this.dispatch.poke();
--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -206,7 +206,7 @@
   assert.deepEqual(hot(after), hot(before));
   const rows = after.accounts.served(after.jobs.open.values());
   const long = rows.find((x) => x.class === 'long');
-  assert.deepEqual([long?.jobs, long?.started, long?.done], [1, 1, 0]);
+  assert.deepEqual([long?.services, long?.replicasUp, long?.started, long?.jobs], [1, 1, 1, 0]);
   w.run(31);
   assert.ok(w.logs.some((l) => l.includes('work served by team and class')));
 });
