--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -58,8 +58,8 @@
   }
 
   /**
-   * One shape a class of the open jobs: the mean of what its tasks take. Room is kept for a class only as far as tasks of it
-   * wait or are expected soon; kept beyond that, it would stand empty and be paid for.
+   * One shape a class of the open jobs: the mean of what its tasks take. Room is kept for a class of which none
+   * wait only as far as tasks of it are expected soon; kept beyond that, it would stand empty and be paid for.
    */
   refresh(
     jobs: Iterable<Job>,
@@ -98,8 +98,8 @@
       const value = this.valueOf(mean, s.spec.types);
       this.bases.set(cls, this.cheapest(mean, s.spec.types));
       this.values.set(cls, value);
-      const least = s.wanted > 0 ? 1 : NOT_WAITING;
-      const kept = freeSlots(rooms, s.spec, mean, s.wanted + expected(cls)) ? 0 : least;
+      // While any of it waits all room counts: free room beyond that was gone to small tasks before the next look at it.
+      const kept = s.wanted > 0 ? 1 : freeSlots(rooms, s.spec, mean, expected(cls)) ? 0 : NOT_WAITING;
       const { types, spot } = s.spec;
       const priority = s.wanted > 0 ? s.priority : s.spec.priority;
       this.leastPriority = Math.min(this.leastPriority, priority);
