What is not heard gets no work; cut zones no machines; a plan sums what a team's limit allows

Cause: for 27 s after hearne was cut off new replicas were bound to its machines, which counted as idle, and 116 machines were rented there that booted and were never heard; jobs of a team near its limit were each rented for as if alone.

--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -6,6 +6,7 @@
   type MachineId,
   NEVER,
   type Revision,
+  type TeamName,
   type TypeName,
   type ZoneName,
 } from '../../types/index.ts';
@@ -19,7 +20,7 @@
 import type { Machine } from '../machines/machine.ts';
 import type { Machines } from '../machines/machines.ts';
 import type { Coming } from '../machines/rooms.ts';
-import type { Quota } from '../teams/quota.ts';
+import type { Quota, TeamUse } from '../teams/quota.ts';
 import { readyTimeS, Warm } from './warm.ts';
 
 interface Request {
@@ -68,6 +69,10 @@
 /** No machine is rented at more than this many times the price at which the task could run elsewhere, but for urgent work. */
 const DEAR = 8;
 const URGENT = 2;
+/** A zone is taken to be cut off when more than this part of its machines, and so many, are not heard. */
+const DARK_PART = 0.7;
+const DARK_LEAST = 3;
+const DARK_MS = 45_000;
 const REPORT_MS = 10_000;
 const MIN_AGE_MS = 60_000;
 /** Part of the cloud's call budget used for renting and returning; the rest is for lists. */
@@ -83,6 +88,8 @@
   coming: Coming = new Map();
   /** Offers of which the cloud had fewer than asked for: until when they are left out, and how often in a row. */
   private readonly refused = new Map<string, { until: Instant; times: number }>();
+  /** Zones that seem to be cut off, and for how long they are taken to be. */
+  private readonly dark = new Map<ZoneName, Instant>();
   private nextPlan: Instant = LONG_AGO;
   private nextList: Instant = LONG_AGO;
   private nextReport: Instant = LONG_AGO;
@@ -180,8 +187,10 @@
     const free = this.supply();
     this.wanted.clear();
     const need = new Map<string, Request[]>();
+    // Of a team near its limit each job might still be allowed, and all together not.
+    const planned = new Map<TeamName, TeamUse>();
     for (const job of this.demand()) {
-      const n = Math.min(job.waiting + job.queued, this.teamRoom(job));
+      const n = Math.min(job.waiting + job.queued, this.teamRoom(job, planned));
       if (isGang(job.spec)) this.provideGang(job, n, free, need);
       else if (job.spec.spread && job.spec.tasks > 1) this.provideSpread(job, n, free, need);
       else this.provide(job, n, null, free, need);
@@ -286,8 +295,13 @@
     return [...new Set([...this.types.values()].flatMap((t) => t.zones))];
   }
 
-  private teamRoom(job: Job): number {
-    return this.quota.allows(job) + job.queued;
+  /** How many of the job's tasks its team's limit allows beside those that were planned for before it. */
+  private teamRoom(job: Job, planned: Map<TeamName, TeamUse>): number {
+    const { team, cpus, gpus } = job.spec;
+    const before = planned.get(team) ?? { cpus: 0, gpus: 0 };
+    const more = Math.min(job.waiting, this.quota.allows(job, before));
+    planned.set(team, { cpus: before.cpus + cpus * more, gpus: before.gpus + gpus * more });
+    return more + job.queued;
   }
 
   /** What is hard to place goes first: accelerators, then gangs and other large tasks. */
@@ -304,12 +318,35 @@
     );
   }
 
+  /**
+   * Notes zones of whose machines hardly any is heard: cut off, most likely. Once those have been returned nothing more is
+   * known, so a zone stays noted for a while, or until a machine of it is heard. A node that hears nobody at all notes none.
+   */
+  private noteDark(): void {
+    const zones = new Map<ZoneName, { heard: number; quiet: number }>();
+    for (const m of this.machines.all.values()) {
+      if (!m.up || m.releasing) continue;
+      const z = zones.get(m.zone) ?? { heard: 0, quiet: 0 };
+      zones.set(m.zone, z);
+      if (m.quiet || m.drain === 'silent') z.quiet++;
+      else z.heard++;
+    }
+    const isDark = ({ heard, quiet }: { heard: number; quiet: number }): boolean =>
+      quiet >= DARK_LEAST && quiet > (heard + quiet) * DARK_PART;
+    if ([...zones.values()].every(isDark)) return this.dark.clear();
+    for (const [zone, z] of zones)
+      if (isDark(z)) this.dark.set(zone, later(this.io.now, DARK_MS));
+      else if (z.heard > 0) this.dark.delete(zone);
+    for (const [zone, until] of this.dark) if (this.io.now >= until) this.dark.delete(zone);
+  }
+
   /** Room on machines that are up, that is about to come free, or that is on its way. */
   private supply(): Supply {
     const out = new Supply();
     const coming = new Map<MachineType, number>();
+    this.noteDark();
     for (const m of this.machines.all.values()) {
-      if (m.releasing || m.drain !== null) continue;
+      if (m.releasing || m.drain !== null || this.dark.has(m.zone)) continue;
       // Requests are not counted: the cloud may have nothing.
       if (!m.up) coming.set(m.type, (coming.get(m.type) ?? 0) + 1);
       const f = freeOn(m);
@@ -381,6 +418,8 @@
       );
       for (const zone of type.zones) {
         if (job.spec.zone !== null && job.spec.zone !== zone) continue;
+        // Rented there, it would boot and never be heard.
+        if (this.dark.has(zone)) continue;
         for (const spot of job.spec.spot ? [true, false] : [false]) {
           if (this.io.now < (this.refused.get(offerKey(type.name, zone, spot))?.until ?? LONG_AGO)) continue;
           const price = spot ? type.spotPrice : type.price;
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -57,6 +57,8 @@
   page: RecordPage | null = null;
   recording = false;
   releasing = false;
+  /** Not heard when it should have been: nothing can be started on it before it is. */
+  quiet = false;
   readonly entries = new Map<string, Entry>();
   strays: Stray[] = [];
   readonly queue: Queued[] = [];
@@ -115,6 +117,7 @@
       this.up &&
       this.page !== null &&
       !this.releasing &&
+      !this.quiet &&
       this.drain === null &&
       this.strays.length === 0
     );
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -24,6 +24,9 @@
 const MARGIN_MS = 500;
 /** Failures in a row, of more than one job, after which a machine is taken for faulty. */
 const SICK_AFTER = 3;
+/** Reports are up to this many periods apart, and on their way for a moment. */
+const LATEST_REPORT = 1.25;
+const QUIET_MS = 1500;
 const BACKOFF_MS = 1000;
 const BACKOFF_MAX_MS = 20_000;
 
@@ -122,6 +125,7 @@
     m.addr = r.addr;
     m.up = true;
     m.lastReport = this.io.now;
+    m.quiet = false;
     this.setNotice(m, r.noticeS);
     if (!m.plain || tasks !== m.listed) this.readTasks(m, tasks, r.seq);
     if (!m.empty) m.idleSince = this.io.now;
@@ -468,7 +472,9 @@
    * owner can exist: one that took over meanwhile hears the machine and renews the lease, and its tasks go on.
    */
   tick(current: boolean): void {
+    const lateMs = this.settings.workers.reportS * 1000 * LATEST_REPORT + QUIET_MS;
     for (const m of this.all.values()) {
+      if (m.up && !m.quiet && this.io.now - m.lastReport > lateMs) this.quieten(m);
       if (!current || this.io.now < m.leaseEnds) continue;
       if (m.entries.size > 0)
         this.io.log('info', 'tasks lost: lease ran out', { machine: m.id, tasks: m.entries.size });
@@ -484,6 +490,14 @@
     for (const [id, at] of this.buried) if (this.io.now - at > 300_000) this.buried.delete(id);
   }
 
+  /** What is queued there could start only with its next report, which may never come: it goes where it can start now. */
+  private quieten(m: Machine): void {
+    m.quiet = true;
+    if (m.queue.length > 0) this.host.poke();
+    this.takeBackAll(m);
+    this.touch(m);
+  }
+
   newMachine(id: MachineId, type: MachineType, zone: ZoneName, spot: boolean, leaseEnds: Instant): Machine {
     const m = new Machine(id, type, zone, spot, this.io.now, leaseEnds);
     this.add(m);
--- a/src/core/teams/quota.ts
+++ b/src/core/teams/quota.ts
@@ -5,21 +5,21 @@
 import type { Job } from '../jobs/job.ts';
 import { Usage } from './usage.ts';
 
-interface Use {
+export interface TeamUse {
   cpus: number;
   gpus: number;
 }
 const EPS = 1e-6;
-const NONE: Use = { cpus: 0, gpus: 0 };
+const NONE: TeamUse = { cpus: 0, gpus: 0 };
 
 export class Quota {
   /** The same by team and by class, for those who share out room. */
   readonly usage = new Usage();
   private readonly teams = new Map<TeamName, Team>();
   /** Tasks on machines and in their queues. */
-  private readonly use = new Map<TeamName, Use>();
+  private readonly use = new Map<TeamName, TeamUse>();
   /** Machines not yet heard under this term: any team may hold all of them. */
-  private readonly doubt: Use = { cpus: 0, gpus: 0 };
+  private readonly doubt: TeamUse = { cpus: 0, gpus: 0 };
 
   constructor(settings: Settings) {
     for (const t of settings.teams) {
@@ -40,22 +40,25 @@
     u.gpus += job.spec.gpus * tasks;
   }
 
-  doubtful(type: Use, sign: 1 | -1): void {
+  doubtful(type: TeamUse, sign: 1 | -1): void {
     this.doubt.cpus += type.cpus * sign;
     this.doubt.gpus += type.gpus * sign;
   }
 
-  used(team: TeamName): Use {
+  used(team: TeamName): TeamUse {
     const u = this.use.get(team) ?? NONE;
     return { cpus: u.cpus + this.doubt.cpus, gpus: u.gpus + this.doubt.gpus };
   }
 
-  /** How many more of the job's tasks the team's limit allows. */
-  allows(job: Job): number {
+  /** How many more of the job's tasks the team's limit allows beside what it uses, and what else is counted as used. */
+  allows(job: Job, beside: TeamUse = NONE): number {
     const t = this.teams.get(job.spec.team);
     if (t === undefined) return 0;
     const u = this.used(job.spec.team);
-    return Math.min(fits(t.cpusMax, u.cpus, job.spec.cpus), fits(t.gpusMax, u.gpus, job.spec.gpus));
+    return Math.min(
+      fits(t.cpusMax, u.cpus + beside.cpus, job.spec.cpus),
+      fits(t.gpusMax, u.gpus + beside.gpus, job.spec.gpus),
+    );
   }
 
   /** Whether the team, with this job, would still be within what it is guaranteed. */
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -184,3 +184,42 @@
   );
   assert.deepEqual(w.broken, []);
 });
+
+test('a machine that is not heard gets no work, long before its lease is over', () => {
+  const w = new World();
+  w.runS = 0.4;
+  w.cloud.capacity = 2;
+  w.submit(job('run-0', { tasks: 4, cpus: 4 }));
+  assert.ok(w.until(() => w.isDone('run-0'), 40));
+  const [silent, heard] = [...w.workers.values()];
+  for (const n of w.nodeNames) w.cut(silent!.id, n, 'hold');
+  w.run(3);
+  const before = heard!.starts;
+  for (let i = 1; i < 6; i++) {
+    w.submit(job(`run-${i}`));
+    w.run(0.9);
+    assert.equal(heard!.starts, before + i);
+  }
+  assert.deepEqual(w.broken, []);
+});
+
+test('no machine is rented in a zone that nothing is heard from, while others are', () => {
+  const w = new World();
+  w.runS = 200;
+  w.cloud.types = w.cloud.types.slice(0, 1);
+  w.cloud.room = (_type, zone) => (zone === 'south' ? 40 : 8);
+  for (const [i, zone] of (['north', 'south'] as ZoneName[]).entries())
+    for (let k = 0; k < 4; k++)
+      w.machine(`i-${90_000 + 10 * i + k}` as never, 'box' as never, zone, false).boot();
+  w.submit(job('run-1', { tasks: 8, cpus: 8 }));
+  assert.ok(w.until(() => w.holders('run-1').length === 8, 30));
+  for (const x of w.workers.values())
+    if (x.zone === 'south') for (const n of w.nodeNames) w.cut(x.id, n, 'hold');
+  w.run(4);
+  const before = new Set(w.workers.keys());
+  w.submit(job('run-2', { tasks: 3, cpus: 8 }));
+  w.run(10);
+  const rented = [...w.workers.values()].filter((x) => !before.has(x.id));
+  assert.ok(rented.length >= 3 && rented.every((x) => x.zone === 'north'), rented.map((x) => x.zone).join());
+  assert.deepEqual(w.broken, []);
+});
