Arrays that save give way to queued work of a higher priority

Cause: after a zone was cut off 118 replicas of the most urgent work stood in queues for a minute behind arrays that could run elsewhere.

--- a/src/core/placement/dispatch.ts
+++ b/src/core/placement/dispatch.ts
@@ -15,6 +15,7 @@
 import type { Gather } from './gather.ts';
 import type { Ranking } from './ranking.ts';
 import type { Shares } from './shares.ts';
+import type { Yields } from './yields.ts';
 
 export interface DispatchSettings {
   /** Queue length below which a machine without room may be joined. */
@@ -32,6 +33,9 @@
 /** Machines looked at in each bucket of like ones, and among those that hold the image. */
 const LOOK = 3;
 const LOOK_IMAGE = 12;
+const LOOK_URGENT = 12;
+/** Whatever its score, a queue whose head makes room for itself goes before one that waits. */
+const SOONER = 10;
 /** Passes are at least this far apart, and further with many jobs waiting; each binds so many tasks at most. */
 const PASS_MS = 40;
 const PASS_MS_PER_JOB = 0.4;
@@ -70,6 +74,7 @@
     private readonly term: Revision,
     private readonly fit: Fit,
     private readonly gather: Gather,
+    private readonly yields: Yields,
   ) {
     this.gangs = new GangPlanner(io, rooms, fit, gather);
   }
@@ -213,11 +218,14 @@
     for (const pool of pools) {
       if (this.fit.wasteful(job, pool)) continue;
       const score = this.fit.typeScore(job, pool);
-      sample(pool.usable, LOOK, this.io.random, (m) => {
+      const urgent = job.priority > this.fit.leastPriority;
+      sample(pool.usable, urgent ? LOOK_URGENT : LOOK, this.io.random, (m) => {
         this.looked++;
         if (m.queue.length >= this.options.threshold || avoid?.has(m.id) || this.gather.keptFrom(m, job))
           return;
-        if (!roomAhead(m, job)) best.offer(m, score);
+        if (roomAhead(m, job)) return;
+        // Where less urgent work can give way it starts sooner than where it waits for an end.
+        best.offer(m, urgent && this.yields.plan(m, job) !== null ? score - SOONER : score);
       });
     }
     return this.pick(best.found);
@@ -245,6 +253,7 @@
         this.machines.takeBackAll(m);
         continue;
       }
+      this.yields.forQueue(m);
       for (const q of [...m.queue])
         if (now - q.since > this.options.takeBackMs && this.elsewhere(m, q, hopeless))
           this.machines.takeBack(m, q);
--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -39,7 +39,8 @@
 
 export class Fit {
   private shapes: Shape[] = [];
-  private leastPriority = 0;
+  /** The least urgent class's. */
+  leastPriority = 0;
   private readonly types: Map<TypeName, MachineType>;
   private readonly values = new Map<string, number>();
   private readonly bases = new Map<string, number>();
--- a/src/core/placement/gather.ts
+++ b/src/core/placement/gather.ts
@@ -2,12 +2,13 @@
 // each gap as it opens, and a task that needs most of a machine, or a gang that needs several, waits for ever.
 import { type Instant, later, type Millis, type ZoneName } from '../../types/index.ts';
 import type { Outbox } from '../base/io.ts';
-import type { Job } from '../jobs/job.ts';
+import type { Entry, Job } from '../jobs/job.ts';
 import type { Estimates } from '../jobs/order.ts';
 import type { Machine, Pool } from '../machines/machine.ts';
 import type { Machines } from '../machines/machines.ts';
 import { type Rooms, sample } from '../machines/rooms.ts';
 import type { Fit } from './fit.ts';
+import type { Yields } from './yields.ts';
 
 /** A job gathers room when it has waited this long, and only where it is likely to come within the next. */
 const AFTER_MS = 1500;
@@ -22,6 +23,10 @@
 /** Room is gathered for jobs whose tasks are worth this many times those of the least class. */
 const LARGER = 2;
 
+/** A stop counts like so many seconds more, and must bring the room at least so much sooner than a task's own end. */
+const STOP_S = 4;
+const WORTH_S = 8;
+
 interface Hold {
   job: Job;
   until: Instant;
@@ -41,6 +46,7 @@
     private readonly rooms: Rooms,
     private readonly fit: Fit,
     private readonly estimates: Estimates,
+    private readonly yields: Yields,
   ) {}
 
   /** Whether the machine gathers room for another job. */
@@ -56,6 +62,7 @@
   /** At the start of a pass: holds that are no longer needed, or have not paid, end. */
   begin(): void {
     this.left = PER_PASS;
+    this.yields.begin(this.machines.all.size);
     this.inPool.clear();
     for (const [m, h] of this.holds) {
       const over = h.job.over || h.job.cancelled || h.job.waiting === 0;
@@ -76,28 +83,31 @@
   /** Keeps machines for tasks of the job that found no place; in one zone if the job is bound to one. */
   want(job: Job, tasks: number, zone: ZoneName | null): void {
     if (this.io.now - job.readyAt < AFTER_MS || this.left <= 0) return;
-    if (this.fit.valueOfClass(job.spec.class) < LARGER * this.fit.leastValue) return;
+    // Where room for smaller work comes and goes by itself, only a task that gives way helps.
+    const large = this.fit.valueOfClass(job.spec.class) >= LARGER * this.fit.leastValue;
+    if (!large && (this.yields.left <= 0 || job.priority <= this.fit.leastPriority)) return;
     const missing = Math.min(tasks - (this.ofJob.get(job)?.size ?? 0), this.left);
     if (missing <= 0) return;
-    const found: { m: Machine; pool: Pool; eta: number }[] = [];
+    const found: { m: Machine; pool: Pool; eta: number; stops: Entry[] }[] = [];
     for (const pool of this.rooms.pools.values()) {
       if (!pool.admits(job.spec) || (zone !== null && pool.zone !== zone)) continue;
       if (this.fit.wasteful(job, pool)) continue;
       sample(pool.usable, LOOK * missing, this.io.random, (m) => {
         this.looked++;
         if (this.holds.has(m) || job.failedOn.has(m.id)) return;
-        const eta = this.eta(m, job);
-        if (eta <= WITHIN_S) found.push({ m, pool, eta });
+        const { eta, stops } = this.eta(m, job);
+        if (eta <= WITHIN_S && (large || stops.length > 0)) found.push({ m, pool, eta, stops });
       });
     }
-    found.sort((a, b) => a.eta - b.eta);
+    found.sort((a, b) => a.eta + a.stops.length * STOP_S - b.eta - b.stops.length * STOP_S);
     let n = 0;
     for (const f of found) {
       if (n >= missing) break;
       const held = this.inPool.get(f.pool) ?? 0;
-      if (held >= Math.max(1, f.pool.usable.length * PART)) continue;
+      if (held >= Math.max(1, f.pool.usable.length * PART) || f.stops.length > this.yields.left) continue;
       this.inPool.set(f.pool, held + 1);
       this.keep(f.m, job, f.eta * 1000);
+      for (const e of f.stops) this.yields.stop(e, job);
       n++;
     }
     this.left -= n;
@@ -111,26 +121,33 @@
     for (const q of [...m.queue]) if (q.job.spec.kind !== 'gang') this.machines.takeBack(m, q);
   }
 
-  /** Seconds until the machine has room for a task of the job if nothing more is put on it. */
-  private eta(m: Machine, job: Job): number {
+  /** Seconds until the machine has room for a task of the job if nothing more is put on it, and who must give way for that. */
+  private eta(m: Machine, job: Job): { eta: number; stops: Entry[] } {
     const { cpus, gpus, memoryGb } = job.spec;
     let c = m.freeCpus - cpus;
     let g = m.freeGpus - gpus;
     let mem = m.freeMemory - memoryGb;
     const enough = () => c >= -1e-9 && g >= -1e-9 && mem >= -1e-9;
-    if (enough()) return 0;
-    const ends = [...m.entries.values()].map((e) => ({
-      spec: e.job.spec,
-      left: this.leftS(e.job, e.runningAt),
-    }));
+    if (enough()) return { eta: 0, stops: [] };
+    const ends = [...m.entries.values()].map((e) => this.end(e, job));
     ends.sort((a, b) => a.left - b.left);
-    for (const e of ends) {
-      c += e.spec.cpus;
-      g += e.spec.gpus;
-      mem += e.spec.memoryGb;
-      if (enough()) return e.left;
+    const stops: Entry[] = [];
+    for (const { e, left, stop } of ends) {
+      c += e.job.spec.cpus;
+      g += e.job.spec.gpus;
+      mem += e.job.spec.memoryGb;
+      if (stop) stops.push(e);
+      if (enough()) return { eta: left, stops };
     }
-    return Number.POSITIVE_INFINITY;
+    return { eta: Number.POSITIVE_INFINITY, stops: [] };
+  }
+
+  /** When the task's room is free: by itself, or sooner because it gives way. */
+  private end(e: Entry, job: Job): { e: Entry; left: number; stop: boolean } {
+    const left = this.leftS(e.job, e.runningAt);
+    const yielded = this.yields.left > 0 ? this.yields.freeS(e, job) : null;
+    if (yielded === null || left <= yielded + WORTH_S) return { e, left, stop: false };
+    return { e, left: yielded, stop: true };
   }
 
   private leftS(job: Job, runningAt: Instant | null): number {
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -34,6 +34,7 @@
 import { Lanes } from '../placement/lanes.ts';
 import { Ranking } from '../placement/ranking.ts';
 import { Shares } from '../placement/shares.ts';
+import { Yields } from '../placement/yields.ts';
 import type { Lookup } from '../record/lookup.ts';
 import { Store } from '../record/store.ts';
 import { apply } from '../reports/listing.ts';
@@ -170,7 +171,8 @@
       shares,
       new Lanes(rooms, quota.usage, this.estimates, () => this.fleet.coming),
     );
-    const gather = new Gather(io, this.machines, rooms, this.fit, this.estimates);
+    const yields = new Yields(io, settings.workers.reportS, () => this.recovery.complete && this.current());
+    const gather = new Gather(io, this.machines, rooms, this.fit, this.estimates, yields);
     this.dispatch = new Dispatch(
       io,
       jobs,
@@ -183,6 +185,7 @@
       term,
       this.fit,
       gather,
+      yields,
     );
     this.recovery = new Recovery(io, settings, jobs, this.machines, catalogue, this.progress, roster);
     this.needs = new Needs(io, settings, this.jobs, this.estimates);
