--- a/src/core/placement/lanes.ts
+++ b/src/core/placement/lanes.ts
@@ -101,6 +101,8 @@
     let all = 0;
     for (const [cls, u] of this.usage.on(types, 'classes')) {
       all += u.sum[r]!;
+      // Of estimate 0, services would count as ending every second, and there would always seem to be room for all.
+      if (u.spec.kind === 'service') continue;
       ends += u.sum[r]! / Math.max(LEAST_S, this.estimates.meanRunS(cls, u.spec.estimateS));
     }
     return all > 0 ? ends / all : 0;
--- a/src/core/placement/ranking.ts
+++ b/src/core/placement/ranking.ts
@@ -19,6 +19,8 @@
 }
 
 const LEAST_S = 1;
+/** Services have no estimate; where one competes with jobs of its priority it is taken for a long one, not for none. */
+const SERVICE_S = 300;
 
 interface Triage {
   supply: Supply;
@@ -129,7 +131,8 @@
     const takes = takesOf(r);
     // A gang of which only a part is missing has been paid for already.
     const begun = isGang(job.spec) && job.live > 0;
-    const work = begun ? 0 : takes * Math.max(LEAST_S, this.estimates.runS(job));
+    const runS = job.spec.kind === 'service' ? SERVICE_S : this.estimates.runS(job);
+    const work = begun ? 0 : takes * Math.max(LEAST_S, runS);
     return { job, age, dues: begun ? [0] : r.dues, takes, work };
   }
 }
--- a/test/shares.test.ts
+++ b/test/shares.test.ts
@@ -5,10 +5,15 @@
 import { Outbox } from '../src/core/base/io.ts';
 import { Door } from '../src/core/intake/door.ts';
 import { Job } from '../src/core/jobs/job.ts';
+import { Estimates } from '../src/core/jobs/order.ts';
+import { Pool } from '../src/core/machines/machine.ts';
+import { Rooms } from '../src/core/machines/rooms.ts';
+import { Lanes } from '../src/core/placement/lanes.ts';
 import { type Candidate, triage } from '../src/core/placement/triage.ts';
 import { dominant, maxMin, type Part } from '../src/core/teams/maxmin.ts';
+import { Usage } from '../src/core/teams/usage.ts';
 import { seeded } from '../src/runtime/random.ts';
-import type { Instant, JobId, Revision, TeamName, WallTime } from '../src/types/index.ts';
+import type { Instant, JobId, Revision, TeamName, TypeName, WallTime, ZoneName } from '../src/types/index.ts';
 import { job, World } from './support/world.ts';
 
 const SEED = { seed: 5, numRuns: 300 };
@@ -172,6 +177,34 @@
   assert.deepEqual(w.broken, []);
 });
 
+test('what services hold is not counted on as coming free', () => {
+  const rooms = new Rooms();
+  const usage = new Usage();
+  const box = {
+    name: 'box' as TypeName,
+    cpus: 8,
+    gpus: 0,
+    memoryGb: 32,
+    cacheGb: 0,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 1,
+    bootS: 5,
+    zones: [],
+  };
+  const pool = new Pool(box, 'north' as ZoneName, false);
+  pool.total[0] = 80;
+  rooms.pools.set('box', pool);
+  const of = (id: string, kind: 'array' | 'service', estimateS: number): Job =>
+    new Job(job(id, { class: id, kind, estimateS }), 1 as Revision, 0 as WallTime, 0 as Instant, false);
+  const lanes = new Lanes(rooms, usage, new Estimates(), () => new Map());
+  usage.add(of('watch', 'service', 0), 20, box.name);
+  const lane = lanes.of(of('plain', 'array', 10));
+  assert.equal(lanes.supply(lane)(100), 0);
+  usage.add(of('plain', 'array', 10), 20, box.name);
+  assert.ok(lanes.supply(lane)(10) > 10 && lanes.supply(lane)(10) < 80);
+});
+
 test('when not all can be in time, the large job waits and the small ones are', () => {
   const w = scarce();
   w.cloud.capacity = 1;
