--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -71,8 +71,6 @@
   drain: string | null = null;
   idleSince: Instant;
   readonly images = new Map<string, number>();
-  /** Images on their way to it, with the tasks that wait for each, those in its queue included. */
-  readonly pulling = new Map<string, number>();
   /** The image noted last: most reports say nothing new of it. */
   lastImage: string | null = null;
   errorsInRow = 0;
@@ -124,14 +122,6 @@
       this.strays.length === 0
     );
   }
-  /** One more task, or one fewer, waits here for its image. */
-  pull({ spec: { image } }: Job, by: 1 | -1): void {
-    if (by > 0 && this.images.has(image)) return;
-    const n = (this.pulling.get(image) ?? 0) + by;
-    if (n > 0) this.pulling.set(image, n);
-    else this.pulling.delete(image);
-  }
-
   get empty(): boolean {
     return this.entries.size === 0 && this.queue.length === 0 && this.strays.length === 0;
   }
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -185,7 +185,6 @@
       m.queuedMemory = 0;
     }
     job.inZone(m.zone, by);
-    m.pull(job, by);
     this.quota.add(job, by, m.type.name);
   }
 
@@ -200,7 +199,6 @@
       m.usedMemory = 0;
     }
     job.inZone(m.zone, by);
-    m.pull(job, by);
     this.quota.add(job, by, m.type.name);
   }
 
@@ -296,7 +294,6 @@
     m.lastImage = image;
     m.images.delete(image);
     m.images.set(image, imageGb);
-    m.pulling.delete(image);
     this.rooms.cached(m, image);
     let total = 0;
     for (const gb of m.images.values()) total += gb;
--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -36,10 +36,6 @@
 /** A start that takes all the time left to a link of a chain counts as much as this, and never more than the second. */
 const LATE = 2;
 const LATE_MAX = 1;
-/** A fetch counts in shortest waits, up to so many: one shared with three others must look worse than one alone. */
-const FETCH_MAX = 2.5;
-/** A fetch under way is done by half on average. */
-const HALF_DONE = 0.5;
 
 export class Fit {
   private shapes: Shape[] = [];
@@ -182,14 +178,15 @@
    */
   private lateness(job: Job, m: Machine): number {
     if (!job.inChain || job.slackS === null) return 0;
-    const waitS = this.answerInS(m) + fetchS(job, m);
-    return Math.min(LATE_MAX, (LATE * waitS) / Math.max(1, job.slackS));
+    const fetchS = m.images.has(job.spec.image) ? 0 : job.spec.imageGb / Math.max(1e-3, m.type.fetchGbPerS);
+    return Math.min(LATE_MAX, (LATE * (this.answerInS(m) + fetchS)) / Math.max(1, job.slackS));
   }
 
   /** The part of the shortest wait that users want which fetching the image would take. */
   private fetchDelay(job: Job, m: Machine): number {
     const aimS = this.shortestWaitS(job.spec.class);
-    return aimS === null ? 0 : Math.min(FETCH_MAX, fetchS(job, m) / aimS);
+    if (aimS === null || m.images.has(job.spec.image) || m.type.fetchGbPerS <= 0) return 0;
+    return Math.min(1, job.spec.imageGb / m.type.fetchGbPerS / aimS);
   }
 
   private dearness(job: Job, m: Machine): number {
@@ -218,19 +215,12 @@
   }
 
   private fetchPenalty(job: Job, m: Machine): number {
-    const s = fetchS(job, m);
-    return s / (s + Math.max(1, job.spec.estimateS));
+    if (m.images.has(job.spec.image) || m.type.fetchGbPerS <= 0) return 0;
+    const fetchS = job.spec.imageGb / m.type.fetchGbPerS;
+    return fetchS / (fetchS + Math.max(1, job.spec.estimateS));
   }
 }
 
-/** How long the machine takes to fetch the job's image, which shares the rate with others that it fetches. */
-function fetchS(job: Job, m: Machine): number {
-  const { image, imageGb } = job.spec;
-  if (m.images.has(image) || m.type.fetchGbPerS <= 0) return 0;
-  const alone = imageGb / m.type.fetchGbPerS;
-  return m.pulling.has(image) ? alone * m.pulling.size * HALF_DONE : alone * (m.pulling.size + 1);
-}
-
 const freeRoom = (m: Machine): Room => ({ cpus: m.freeCpus, gpus: m.freeGpus, memoryGb: m.freeMemory });
 
 /** Whether there is room now for more than n tasks of about this size. */
