--- a/scripts/drill/fleet-days.ts
+++ b/scripts/drill/fleet-days.ts
@@ -81,6 +81,8 @@
   checkpointS: number;
   /** Part of the arriving work. */
   part: number;
+  /** Of services: the most urgent, spread over zones, on ordinary machines, for as long as their users want them. */
+  service?: true;
 }
 
 const KINDS: Kind[] = [
@@ -124,7 +126,22 @@
     images: 20,
     deadline: { times: 2, plusS: 60 },
     checkpointS: 15,
-    part: 0.2,
+    part: 0.15,
+  },
+  {
+    class: 'watch',
+    kind: 'service',
+    cpus: 2,
+    gpus: 1,
+    memoryGb: 12,
+    tasks: [2, 2, 3, 6],
+    runS: 120,
+    imageGb: 3,
+    images: 8,
+    deadline: null,
+    checkpointS: 0,
+    part: 0.05,
+    service: true,
   },
 ];
 
@@ -134,6 +151,8 @@
   { kind: 'deadline', class: 'small', withinS: null, share: 0.95, times: 1 },
   { kind: 'wait', class: 'small', withinS: 150, share: 0.99, times: null },
   { kind: 'deadline', class: 'scan', withinS: null, share: 0.9, times: 1 },
+  { kind: 'wait', class: 'watch', withinS: 15, share: 0.8, times: null },
+  { kind: 'guarantee', class: null, withinS: 20, share: 0.9, times: null },
 ];
 
 export const teamName = (i: number): TeamName => `team-${i}` as TeamName;
@@ -153,6 +172,7 @@
   return n - 1;
 }
 
+/** `runS`: of a service, how long after it was accepted its user cancels it. */
 export interface Arrival {
   atS: number;
   spec: JobSpec;
@@ -186,7 +206,7 @@
         class: k.class,
         team: teamName(team),
         kind: k.kind,
-        priority: 1,
+        priority: k.service ? 3 : 1,
         tasks,
         cpus: k.cpus,
         gpus: k.gpus,
@@ -196,9 +216,9 @@
         types: null,
         zone: null,
         oneZone: k.kind === 'gang',
-        spread: false,
-        spot: true,
-        estimateS,
+        spread: k.service ?? false,
+        spot: !k.service,
+        estimateS: k.service ? 0 : estimateS,
         checkpointS: k.checkpointS,
         saveS: k.checkpointS > 0 ? 3 : 0,
         deadlineS: k.deadline === null ? null : estimateS * k.deadline.times + k.deadline.plusS,
--- a/scripts/drill/fleet-world.ts
+++ b/scripts/drill/fleet-world.ts
@@ -88,12 +88,19 @@
 const LEAST_SAMPLES = 12;
 const RETRY_FOR_MS = 60_000;
 
+/** A service is served when so much of its replicas was up. */
+const UP = 0.5;
+const CANCEL_MS = 49_000;
+
 interface Followed {
   a: Arrival;
   acceptedAt: number | null;
   startedAt: number | null;
   left: number;
   done: Set<number>;
+  /** Of services: how often they were looked at, and the mean part of their replicas that was up; when they were cancelled. */
+  up: { sum: number; n: number };
+  cancelledAt: number | null;
 }
 
 export class FleetWorld {
@@ -177,7 +184,8 @@
         name: teamName(i),
         cpus: 0,
         cpusMax: 0,
-        gpus: 0,
+        // Every third team is guaranteed accelerators, and nothing else.
+        gpus: i % 3 === 0 ? Math.round(machines / (4 * teams)) : 0,
         gpusMax: 0,
       })),
       objectives: OBJECTIVES,
@@ -278,7 +286,15 @@
   // ---- users
 
   private arrive(a: Arrival): void {
-    this.jobs.set(a.spec.id, { a, acceptedAt: null, startedAt: null, left: a.spec.tasks, done: new Set() });
+    this.jobs.set(a.spec.id, {
+      a,
+      acceptedAt: null,
+      startedAt: null,
+      left: a.spec.tasks,
+      done: new Set(),
+      up: { sum: 0, n: 0 },
+      cancelledAt: null,
+    });
     const { kind, tasks, image, imageGb } = a.spec;
     this.tasks.describe(a.spec.id, { kind, tasks, image, imageGb, runS: a.runS, command: null });
     this.submit(a, this.now);
@@ -296,9 +312,10 @@
       if (!open) return;
       open = false;
       if (answer.kind === 'retry') again(Math.max(1000, answer.afterS * 1000));
-      else if (answer.kind === 'accepted' || answer.kind === 'known')
+      else if (answer.kind === 'accepted' || answer.kind === 'known') {
         this.jobs.get(a.spec.id)!.acceptedAt ??= this.now;
-      else this.broken.push(`${a.spec.id} was answered ${answer.kind}`);
+        if (a.spec.kind === 'service') this.after(a.runS * 1000, () => this.cancel(a));
+      } else this.broken.push(`${a.spec.id} was answered ${answer.kind}`);
     }) as (a: never) => void);
     this.after(5000, () => {
       if (open) again(1000);
@@ -311,6 +328,21 @@
     });
   }
 
+  /** Asked again and again until it is answered. */
+  private cancel(a: Arrival): void {
+    const f = this.jobs.get(a.spec.id)!;
+    if (f.cancelledAt !== null) return;
+    const up = [...this.nodes.keys()];
+    this.after(3000, () => this.cancel(a));
+    if (up.length === 0) return;
+    const req = this.req++;
+    this.answers.set(req, ((answer: UserAnswer) => {
+      if (answer.kind === 'ended' && answer.status === 'cancelled') f.cancelledAt ??= this.now;
+    }) as (a: never) => void);
+    const request = { op: 'cancel', id: a.spec.id } as const;
+    this.input(up[this.random.below(up.length)]!, { kind: 'user', req, request });
+  }
+
   // ---- machines
 
   machine(id: string, type: TypeName, zone: ZoneName, spot: boolean): FakeWorker {
@@ -410,6 +442,15 @@
     const before = this.where.get(task);
     if (before !== undefined && !before.over) fault(`ran_twice with ${before.id}`);
     this.where.set(task, w);
+    if (f.cancelledAt !== null && this.now > f.cancelledAt + CANCEL_MS) fault('ran_cancelled');
+    if (f.a.spec.spread) {
+      let there = 0;
+      for (let i = 0; i < f.a.spec.tasks; i++) {
+        const other = this.where.get(`${f.a.spec.id}/${i}` as TaskId);
+        if (other !== undefined && !other.over && other.zone === w.zone) there++;
+      }
+      if (there > Math.ceil(f.a.spec.tasks / 2)) fault(`wrong_place: ${there} in ${w.zone}`);
+    }
     if (!f.a.spec.oneZone) return;
     for (let i = 0; i < f.a.spec.tasks; i++) {
       const other = this.where.get(`${f.a.spec.id}/${i}` as TaskId);
@@ -474,7 +515,11 @@
       running.set(id, (running.get(id) ?? 0) + 1);
     }
     for (const [id, f] of this.jobs) {
-      if (f.acceptedAt === null || this.now - f.acceptedAt < ASKED_MS) continue;
+      if (f.acceptedAt === null || this.now - f.acceptedAt < ASKED_MS || f.cancelledAt !== null) continue;
+      if (f.a.spec.kind === 'service') {
+        f.up.n++;
+        f.up.sum += (running.get(id) ?? 0) / f.a.spec.tasks;
+      }
       const waiting = f.left - (running.get(id) ?? 0);
       if (waiting > 0) add(demand, f.a.spec, waiting);
     }
@@ -546,10 +591,13 @@
     const at = (p: number): number => h.getValueAtPercentile(p) / 1000;
     return {
       jobs: list.length,
-      done: list.filter((f) => f.left === 0).length,
+      done: list.filter(isServed).length,
       wait: { p50: at(50), p90: at(90), p99: at(99), max: h.maxValue / 1000 },
     };
   }
 }
 
+const isServed = ({ a, left, up }: Followed): boolean =>
+  a.spec.kind === 'service' ? up.n === 0 || up.sum >= UP * up.n : left === 0;
+
 const jobOf = (task: TaskId): string => task.slice(0, task.lastIndexOf('/'));
--- a/src/core/placement/dispatch.ts
+++ b/src/core/placement/dispatch.ts
@@ -191,7 +191,8 @@
           sample(b.members, LOOK, this.io.random, look);
     }
     this.lookAtImageHolders(job, pools, look);
-    for (const m of this.gather.of(job)) look(m);
+    // Kept before another task of the job took its zone's part: what pools were left out for holds for these as well.
+    for (const m of this.gather.of(job)) if (!rules || zoneAllowed(job, m.zone, job.zones)) look(m);
     if (best.found.length > 0) return this.pick(best.found);
     return this.belowThreshold(job, pools, avoid);
   }
--- a/src/core/placement/gather.ts
+++ b/src/core/placement/gather.ts
@@ -4,7 +4,7 @@
 import type { Outbox } from '../base/io.ts';
 import type { Entry, Job } from '../jobs/job.ts';
 import type { Estimates } from '../jobs/order.ts';
-import type { Machine, Pool } from '../machines/machine.ts';
+import { type Machine, type Pool, zoneAllowed } from '../machines/machine.ts';
 import type { Machines } from '../machines/machines.ts';
 import { type Rooms, sample } from '../machines/rooms.ts';
 import type { Fit } from './fit.ts';
@@ -91,6 +91,7 @@
     const found: { m: Machine; pool: Pool; eta: number; stops: Entry[] }[] = [];
     for (const pool of this.rooms.pools.values()) {
       if (!pool.admits(job.spec) || (zone !== null && pool.zone !== zone)) continue;
+      if (!zoneAllowed(job, pool.zone, job.zones)) continue;
       if (this.fit.wasteful(job, pool)) continue;
       sample(pool.usable, LOOK * missing, this.io.random, (m) => {
         this.looked++;
--- a/test/yields.test.ts
+++ b/test/yields.test.ts
@@ -88,3 +88,12 @@
     quiet(w);
   }
 });
+
+test('room made for a spread service is never more than its part of a zone', () => {
+  const w = full();
+  w.submit(job('run-1', { class: 'watch', kind: 'service', tasks: 2, priority: 3, spread: true }));
+  w.run(25);
+  // All machines are in one zone, and half of two is one.
+  assert.equal(live(w, 'run-1'), 1);
+  quiet(w);
+});
