--- a/test/restarts.test.ts
+++ b/test/restarts.test.ts
@@ -227,3 +227,50 @@
   );
   quiet(w);
 });
+
+test('of five controllers four end at once, then the one that is left: work goes on, and workers find each owner', () => {
+  const names = [0, 1, 2, 3, 4].map((i) => `node-${i}`);
+  const w = new World({}, names);
+  w.runS = 60;
+  w.submit(job('run-1', { tasks: 20, cpus: 4 }));
+  assert.ok(w.until(() => w.holders('run-1').length > 4));
+  w.run(4);
+  const rest = names.filter((n) => n !== w.owner).at(-1)!;
+  for (const n of names) if (n !== rest) w.crash(n);
+  assert.ok(w.until(() => w.owner === rest, 8));
+  w.run(0.4);
+  for (const n of names) if (n !== rest) w.start(n);
+  // The new owner has not heard all machines when it ends as well.
+  w.run(0.6);
+  bounce(w, rest, 0.3);
+  assert.ok(w.until(() => w.owner !== undefined && w.owner !== rest, 8));
+  assert.equal(w.submit(job('run-2', { tasks: 3 }), rest)?.kind, 'accepted');
+  assert.ok(w.until(() => w.isDone('run-1', w.owner) && w.isDone('run-2', w.owner), 120));
+  const workers = [...w.workers.values()];
+  assert.equal(
+    workers.reduce((n, x) => n + x.lostByLease, 0),
+    0,
+  );
+  quiet(w);
+});
+
+test('with a state service many times slower the term is kept, and submissions are accepted within a second', () => {
+  const w = new World();
+  w.submit(job('run-0'));
+  w.run(3);
+  const term = w.nodes.get(w.owner!)!.leadership.term;
+  w.stateSlowMs = 300;
+  for (let i = 1; i <= 20; i++) {
+    const at = w.now;
+    const box = w.ask(NODES[i % 3]!, { op: 'submit', spec: job(`run-${i}`) });
+    assert.ok(w.until(() => box.answer !== null, 5));
+    // A node learns how slow the service is from what it asks itself.
+    if (i > 3) assert.deepEqual([box.answer?.kind, w.now - at <= 1000], ['accepted', true]);
+    w.run(1);
+  }
+  assert.equal(w.nodes.get(w.owner!)!.leadership.term, term);
+  // Nothing piles up: what was asked for is a few requests a second and a job.
+  assert.ok(w.state.served.length < 700, `${w.state.served.length}`);
+  for (let i = 1; i <= 20; i++) assert.ok(w.until(() => w.isDone(`run-${i}`), 60));
+  quiet(w);
+});
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -39,12 +39,16 @@
 
 type Cut = 'drop' | 'hold';
 
-export const settings = (node: string, over: Partial<Settings> = {}): Settings => ({
+export const settings = (
+  node: string,
+  over: Partial<Settings> = {},
+  names: readonly string[] = ['node-0', 'node-1', 'node-2'],
+): Settings => ({
   node: node as NodeId,
   zone: 'north' as ZoneName,
   listen: '10.0.0.1:80',
   peerListen: '10.0.0.1:81',
-  peers: ['node-0', 'node-1', 'node-2']
+  peers: names
     .filter((n) => n !== node)
     .map((n) => ({ node: n as NodeId, zone: 'north' as ZoneName, addr: '10.0.0.2:81' })),
   cloudAddr: '10.0.0.9:1',
@@ -94,7 +98,7 @@
   readonly cloud = new FakeCloud(this);
   readonly workers = new Map<string, FakeWorker>();
   readonly nodes = new Map<string, Controller>();
-  readonly nodeNames = ['node-0', 'node-1', 'node-2'];
+  readonly nodeNames: string[] = ['node-0', 'node-1', 'node-2'];
   leaseMs = 10_000;
   readonly jobs = new Map<string, { spec: JobSpec; cancelledAt: number | null }>();
   readonly broken: string[] = [];
@@ -102,6 +106,8 @@
   private readonly frozen = new Set<string>();
   /** Whether workers begin at all nodes in turn, rather than at the one that owns first. */
   spread = true;
+  /** How long the state service takes beyond the network. */
+  stateSlowMs = 0;
   /** How often workers report when nothing changes. */
   reportMs = 1000;
   /** How long tasks run. */
@@ -116,6 +122,7 @@
 
   constructor(over: Partial<Settings> = {}, names: string[] = ['node-0', 'node-1', 'node-2']) {
     this.over = over;
+    if (names.length > this.nodeNames.length) this.nodeNames = names;
     for (const name of names) this.start(name);
   }
 
@@ -181,7 +188,7 @@
 
   start(name: string): void {
     const core = new Controller(
-      settings(name, this.over),
+      settings(name, this.over, this.nodeNames),
       { ...dispatchSettings(defaults(), 1), threshold: 2 },
       seeded(name.length + this.events.n),
     );
@@ -231,7 +238,7 @@
           name,
           'state',
           e.timeoutMs,
-          (reply) => this.state.serve(name, e.op, reply),
+          (reply) => this.after(this.stateSlowMs, () => this.state.serve(name, e.op, reply)),
           (r) => give({ kind: 'state', tag: e.tag, reply: r ?? { kind: 'no-answer' } }),
         );
       case 'cloud':
@@ -347,7 +354,7 @@
       type,
       zone,
       spot,
-      this.spread ? this.workers.size % 3 : 0,
+      this.spread ? this.workers.size % this.nodeNames.length : 0,
     );
     this.workers.set(id, w);
     return w;
