--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -72,7 +72,7 @@
 /** A zone is taken to be cut off when more than this part of its machines, and so many, are not heard. */
 const DARK_PART = 0.7;
 const DARK_LEAST = 3;
-const DARK_MS = 45_000;
+const DARK_MS = 5_000;
 const REPORT_MS = 10_000;
 const MIN_AGE_MS = 60_000;
 /** Part of the cloud's call budget used for renting and returning; the rest is for lists. */
