--- a/scripts/copies.ts
+++ b/scripts/copies.ts
@@ -18,17 +18,26 @@
   /** Zones that machines are in: the first so many, or new ones, each with a copy of what the zones have in turn. */
   zones?: number;
   controllers?: number;
+  /** Seconds after which a controller that ends is back. */
+  restartS?: number;
+  /** Factor on what teams are guaranteed and limited to. */
+  quotas?: number;
   /** Factor on a team's weight. */
   team?: { name: string; weight: number };
 }
 
+const QUOTAS = ['cpus', 'cpus_max', 'gpus', 'gpus_max'] as const;
+type Quota = (typeof QUOTAS)[number];
+
 /** What is changed of a site; the rest is passed through. */
 interface Site {
   name: string;
-  nodes: { count: number; zones: string[] };
+  nodes: { count: number; zones: string[]; restart_delay_s?: number };
   capacity: { type: string; zone: string; count: number; spot: number }[];
-  jobs: { initial: number; arrivals: { rate: number }; images: { count: number } }[];
-  teams?: { name: string; weight?: number }[];
+  /** Up at the start. */
+  machines?: { type: string; zone: string; count: number }[];
+  jobs: { name: string; initial: number; arrivals: { rate: number }; images: { count: number } }[];
+  teams?: ({ name: string; weight?: number } & { [quota in Quota]?: number })[];
   day?: { faults?: { zone?: string }[] }[];
 }
 
@@ -38,8 +47,10 @@
 export function changed(text: string, name: string, c: Change): string {
   const site = parse(text) as unknown as Site;
   site.name = name;
+  const factor = (zone: string): number => (c.zone?.name === zone ? c.zone.capacity : (c.capacity ?? 1));
+  for (const m of site.machines ?? []) m.count = scaled(m.count, factor(m.zone));
   for (const m of site.capacity) {
-    const by = c.zone?.name === m.zone ? c.zone.capacity : (c.capacity ?? 1);
+    const by = factor(m.zone);
     m.count = scaled(m.count, by);
     m.spot = Math.min(m.count, scaled(m.spot, by));
   }
@@ -52,6 +63,8 @@
     }
   }
   if (c.controllers !== undefined) site.nodes.count = c.controllers;
+  if (c.restartS !== undefined) site.nodes.restart_delay_s = c.restartS;
+  for (const t of site.teams ?? []) for (const q of QUOTAS) if (t[q] !== undefined) t[q] *= c.quotas ?? 1;
   const team = site.teams?.find((t) => t.name === c.team?.name);
   if (c.team !== undefined && team === undefined) throw new Error(`no team ${c.team.name} in the site`);
   if (c.team !== undefined && team !== undefined) team.weight = (team.weight ?? 1) * c.team.weight;
@@ -80,12 +93,35 @@
       spot: scaled(m.spot, 1 / n),
     })),
   );
+  for (const m of site.machines ?? []) if (!kept.includes(m.zone)) m.zone = kept[0]!;
   const zones = site.nodes.zones.filter((z) => kept.includes(z));
   site.nodes.zones = zones.length > 0 ? zones : kept.slice(0, 1);
   for (const d of site.day ?? [])
     for (const f of d.faults ?? []) if (f.zone !== undefined && !kept.includes(f.zone)) f.zone = kept.at(-1)!;
 }
 
+/**
+ * A day of our own, made to fit a site: a zone called "@zone" is its last one, and a trouble for the class "@each" strikes
+ * each class, `EACH_S` seconds apart.
+ */
+export function dayFor(day: string, site: string): string {
+  const s = parse(site) as unknown as Site;
+  const out = parse(day) as unknown as { day: { faults: Fault[] }[] };
+  for (const d of out.day)
+    d.faults = d.faults.flatMap((f) => {
+      const here = f.zone === '@zone' ? { ...f, zone: s.capacity.at(-1)!.zone } : f;
+      if (f.class !== '@each') return [here];
+      return s.jobs.map((j, i) => ({ ...here, class: j.name, at_s: f.at_s + i * EACH_S }));
+    });
+  return stringify(out);
+}
+const EACH_S = 60;
+interface Fault {
+  at_s: number;
+  zone?: string;
+  class?: string;
+}
+
 /** Writes a copy, with what the bench looks for beside it; returns its path. */
 export function writeCopy(site: string, dir: string, name: string, c: Change): string {
   mkdirSync(dir, { recursive: true });
@@ -112,11 +148,15 @@
     .option('--load <factor>', 'arrivals and jobs at the start', Number)
     .option('--zones <n>', 'number of zones', Number)
     .option('--controllers <n>', 'number of controllers', Number)
+    .option('--restart-s <seconds>', 'after which a controller that ends is back', Number)
+    .option('--quotas <factor>', 'what teams are guaranteed and limited to', Number)
     .option('--team <name=factor>', "a team's weight");
   program.parse();
   const o = program.opts<Record<string, number & string>>();
   const c: Change = { capacity: o.capacity, images: o.images, load: o.load, zones: o.zones };
   if (o.controllers !== undefined) c.controllers = o.controllers;
+  if (o.restartS !== undefined) c.restartS = o.restartS;
+  if (o.quotas !== undefined) c.quotas = o.quotas;
   if (o.zone !== undefined) c.zone = { name: pair(o.zone).name, capacity: pair(o.zone).by };
   if (o.team !== undefined) c.team = { name: pair(o.team).name, weight: pair(o.team).by };
   const [site, out] = program.args as [string, string];
--- a/scripts/levels.ts
+++ b/scripts/levels.ts
@@ -1,5 +1,7 @@
 // Compares what the bench played with the levels that the repository keeps. Pure, so that it is tested without the bench.
 
+import { HALF } from './served.ts';
+
 /** One day as the bench's journal tells it. */
 export interface PlayedDay {
   name: string;
@@ -9,6 +11,8 @@
   rules: Record<string, number>;
   /** Why the day failed as a whole; null if it was played to its end. */
   fault: string | null;
+  /** Classes and teams: name, part of the day's jobs, part of its own jobs of which anything was started. */
+  served?: [string, number, number][];
 }
 export interface PlayedSite {
   site: string;
@@ -46,6 +50,8 @@
     const rules = Object.entries(d.rules).filter(([, n]) => n > 0);
     if (rules.length > 0)
       broken(`${d.name} (seed ${d.seed}): ${rules.map(([r, n]) => `${r} ${n}`).join(', ')}`);
+    for (const [who, , part] of d.served ?? [])
+      if (part < HALF) broken(`${d.name} (seed ${d.seed}): ${who} served ${part.toFixed(2)}`);
     if (d.fault !== null) broken(`${d.name} (seed ${d.seed}): failed: ${d.fault}`);
     else if (d.score === null || d.score <= 0) broken(`${d.name} (seed ${d.seed}): the day is worth nothing`);
   }
--- a/scripts/served.ts
+++ b/scripts/served.ts
@@ -1,18 +1,36 @@
 // Who was served least on a day: classes by the bench's report, teams by the service's own account in its log. Pure, so that
 // it is tested without the bench.
 
+/** `up`: of services, the part of their replicas' time in which they were up. */
+interface ClassReport {
+  accepted: number;
+  cancelled: number;
+  started: number;
+  done: number;
+  tasks: number;
+  up?: number;
+}
+
 /** What is read of a report (`fleetbench run --report`). */
 export interface Report {
-  classes: Record<string, { accepted: number; cancelled: number; done: number; tasks: number }>;
+  classes: Record<string, ClassReport>;
+  teams: Record<string, { jobs: number; started: number }>;
   targets: { kind: string; class?: string | null; within_s?: number; times?: number; value: number | null }[];
   rules_broken: { total: number };
+  node_stats: { memory_peak_mb: number; connections_peak: number; restarts: { why: string }[] }[];
+  /** Seconds of processor time: of the bench's world and of the processes, each in their own code and in the kernel. */
+  spent: { world: [number, number]; processes: [number, number] };
   fleet: { tasks_killed_by_lease: number; tasks_lost: number; price: number };
 }
 
 export interface Least {
   name: string;
-  /** Jobs done, of those accepted and not cancelled; tasks beside them where they are known. */
+  /**
+   * Jobs done, of those accepted and not cancelled, and jobs of which a task ever started: what was started and is not
+   * done came too late in the day, or took too long. Services are never done: of them the replicas' time up counts.
+   */
   jobs: number;
+  started: number | null;
   tasks: number | null;
 }
 
@@ -23,11 +41,18 @@
   leastTeam: Least | null;
   killedByLease: number;
   lost: number;
+  /** Processor time that the day took to play; processes that ended by themselves; the most memory and sockets of one. */
+  cpuS: number;
+  ended: number;
+  memoryMb: number;
+  sockets: number;
   aims: Record<string, number>;
 }
 
 /** Below this a day fails. */
 export const HALF = 0.5;
+/** A day that takes longer to play has failed too. */
+export const CPU_MAX_S = 400;
 
 const part = (done: number, of: number): number => (of <= 0 ? 1 : done / of);
 
@@ -35,19 +60,32 @@
   return all.reduce<Least | null>((a, b) => (a === null || b.jobs < a.jobs ? b : a), null);
 }
 
+const classPart = (c: ClassReport): { jobs: number; started: number } => {
+  const started = part(c.started, c.accepted);
+  const jobs =
+    c.up !== undefined && c.up !== null ? Math.min(started, c.up) : part(c.done, c.accepted - c.cancelled);
+  return { jobs, started };
+};
+
 export const leastClass = (r: Report): Least | null =>
+  least(Object.entries(r.classes).map(([name, c]) => ({ name, ...classPart(c), tasks: null })));
+
+/** By the report, which knows of starts only; what is done is told by the service itself (`leastTeam`). */
+export const leastStarted = (r: Report): Least | null =>
   least(
-    Object.entries(r.classes).map(([name, c]) => ({
-      name,
-      jobs: part(c.done, c.accepted - c.cancelled),
-      tasks: null,
-    })),
+    Object.entries(r.teams).map(([name, t]) => {
+      const started = part(t.started, t.jobs);
+      return { name, jobs: started, started, tasks: null };
+    }),
   );
 
 const ACCOUNT = /\{.*"msg":"work served by team and class, least first".*\}/;
 
 interface Line {
   team: string;
+  services: number;
+  replicas: number;
+  replicasUp: number;
   jobs: number;
   done: number;
   tasks: number;
@@ -63,17 +101,25 @@
   }
   if (last === null) return null;
   const teams = new Map<string, Omit<Line, 'team'>>();
-  for (const l of last) {
-    const t = teams.get(l.team) ?? { jobs: 0, done: 0, tasks: 0, tasksDone: 0 };
-    teams.set(l.team, {
-      jobs: t.jobs + l.jobs,
-      done: t.done + l.done,
-      tasks: t.tasks + l.tasks,
-      tasksDone: t.tasksDone + l.tasksDone,
-    });
+  for (const { team, ...l } of last) {
+    const t = teams.get(team) ?? {
+      services: 0,
+      replicas: 0,
+      replicasUp: 0,
+      jobs: 0,
+      done: 0,
+      tasks: 0,
+      tasksDone: 0,
+    };
+    for (const k of Object.keys(t) as (keyof typeof t)[]) t[k] += l[k] ?? 0;
+    teams.set(team, t);
   }
   return least(
-    [...teams].map(([name, t]) => ({ name, jobs: part(t.done, t.jobs), tasks: part(t.tasksDone, t.tasks) })),
+    [...teams].map(([name, t]) => {
+      const up = t.replicas === 0 ? 0 : (t.services * t.replicasUp) / t.replicas;
+      const jobs = part(t.done + up, t.jobs + t.services);
+      return { name, jobs, started: null, tasks: part(t.tasksDone, t.tasks) };
+    }),
   );
 }
 
@@ -88,9 +134,13 @@
     mark: mark === null ? null : Number(mark[1]),
     broken: report.rules_broken.total,
     leastClass: leastClass(report),
-    leastTeam: leastTeam(log),
+    leastTeam: least([leastTeam(log), leastStarted(report)].filter((l) => l !== null)),
     killedByLease: report.fleet.tasks_killed_by_lease,
     lost: report.fleet.tasks_lost,
+    cpuS: [...report.spent.world, ...report.spent.processes].reduce((a, b) => a + b, 0),
+    ended: report.node_stats.reduce((n, s) => n + s.restarts.filter((r) => r.why !== 'fault').length, 0),
+    memoryMb: Math.max(...report.node_stats.map((s) => s.memory_peak_mb)),
+    sockets: Math.max(...report.node_stats.map((s) => s.connections_peak)),
     aims,
   };
 }
@@ -99,6 +149,8 @@
 export function faults(p: Play): string[] {
   const out: string[] = [];
   if (p.broken > 0) out.push(`${p.broken} broken rules`);
+  if (p.ended > 0) out.push(`${p.ended} processes ended by themselves`);
+  if (p.cpuS > CPU_MAX_S) out.push(`${Math.round(p.cpuS)} s of processor time`);
   if (p.mark === null || p.mark <= 0) out.push('the day is worth nothing');
   for (const [what, l] of [
     ['class', p.leastClass],
@@ -111,4 +163,4 @@
 export const show = (l: Least | null): string =>
   l === null
     ? 'unknown'
-    : `${l.name} ${l.jobs.toFixed(2)}${l.tasks === null ? '' : ` (tasks ${l.tasks.toFixed(2)})`}`;
+    : `${l.name} ${l.jobs.toFixed(2)}${l.started === null ? '' : ` (started ${l.started.toFixed(2)})`}`;
--- a/src/core/teams/accounts.ts
+++ b/src/core/teams/accounts.ts
@@ -31,7 +31,11 @@
 export interface Served {
   team: string;
   class: string;
-  /** Not cancelled, open or done. */
+  /** Open services, which are in none of the figures below but `started` and those about waiting. */
+  services: number;
+  replicas: number;
+  replicasUp: number;
+  /** Other jobs not cancelled, open or done. */
   jobs: number;
   tasks: number;
   started: number;
@@ -161,8 +165,9 @@
       let s = out.get(name);
       if (s === undefined) {
         const [team, cls] = split(name);
+        const services = { services: 0, replicas: 0, replicasUp: 0 };
         const none = { jobs: 0, tasks: 0, started: 0, done: 0, tasksDone: 0, waitingTasks: 0 };
-        s = { team, class: cls, ...none, oldestWaitS: 0, cpuS: 0 };
+        s = { team, class: cls, ...services, ...none, oldestWaitS: 0, cpuS: 0 };
         out.set(name, s);
       }
       return s;
@@ -179,8 +184,15 @@
     for (const job of open) {
       if (job.cancelled) continue;
       const s = at(this.nameOf(job));
-      s.jobs++;
-      s.tasks += job.spec.tasks;
+      // A service is never done: it is served as far as its replicas are up.
+      if (job.spec.kind === 'service') {
+        s.services++;
+        s.replicas += job.spec.tasks;
+        s.replicasUp += job.running;
+      } else {
+        s.jobs++;
+        s.tasks += job.spec.tasks;
+      }
       s.tasksDone += job.doneCount;
       if (job.doneCount > 0 || job.running > 0) s.started++;
       s.waitingTasks += job.wanting;
@@ -191,8 +203,9 @@
 
   private tell(all: Served[]): void {
     if (all.length === 0) return;
-    const part = (s: Served): number => (s.jobs === 0 ? 1 : s.done / s.jobs);
-    const lines = all.sort((a, b) => part(a) - part(b) || b.oldestWaitS - a.oldestWaitS).slice(0, TOLD);
+    const lines = all
+      .sort((a, b) => servedPart(a) - servedPart(b) || b.oldestWaitS - a.oldestWaitS)
+      .slice(0, TOLD);
     const served = lines.map((s) => ({
       ...s,
       oldestWaitS: Math.round(s.oldestWaitS),
@@ -202,6 +215,13 @@
   }
 }
 
+/** Jobs done and, of services, replicas up, as a part of those asked for; 1 for nothing. */
+function servedPart(s: Served): number {
+  const of = s.jobs + s.services;
+  if (of === 0) return 1;
+  return (s.done + (s.replicas === 0 ? 0 : (s.services * s.replicasUp) / s.replicas)) / of;
+}
+
 /** Teams are named by the settings, and those have no such sign in their names. */
 function split(name: string): [string, string] {
   const cut = name.indexOf('|');
--- a/test/regress.test.ts
+++ b/test/regress.test.ts
@@ -28,6 +28,9 @@
   );
   assert.match(JSON.stringify(judge(played({ days: [day({ fault: 'no answers' })] }), 0.1)), /no answers/);
   assert.equal(judge(played({ days: [day({ score: 0 })] }), 0.1).length, 1);
+  const served = (part: number) => played({ days: [day({ served: [['team red', 0.3, part]] })] });
+  assert.match(JSON.stringify(judge(served(0.49), 0.1)), /team red served 0.49/);
+  assert.deepEqual(judge(served(0.5), 0.6), []);
   assert.equal(judge(played({ error: 'not built', days: [] }), 0.1).length, 2);
   assert.deepEqual(judge(played({ score: 0.58 }), 0.62), [
     { kind: 'lower', site: 'a', score: 0.58, level: 0.62 },
