A leader that is cut off returns no machine that it does not hear, and is not ready

Change: while another owner may exist only machines that are heard are returned, and none is settled by returning it; a node that reaches neither the state service nor a peer is not ready; only a newer report ends a held answer. Both stories were seen to fail with their guards broken.

--- a/src/core/base/io.ts
+++ b/src/core/base/io.ts
@@ -85,6 +85,11 @@
     else reach.served(this.now);
   }
 
+  /** Whether the state service has not served this node for some seconds. */
+  get stateAway(): boolean {
+    return this.stateReach.away(this.now);
+  }
+
   begin(now: Instant, wall: WallTime): void {
     this.now = now;
     this.wall = wall;
--- a/src/core/base/reach.ts
+++ b/src/core/base/reach.ts
@@ -9,10 +9,13 @@
 /** A service that answers in between is taken for back only after this long without a failure. */
 const GOOD_MS = 5000;
 
+const AWAY_MS = 3000;
+
 export class Reach {
   /** Since when requests fail; null while they are served. */
   private downSince: Instant | null = null;
   private lastFailure: Instant = LONG_AGO;
+  private lastServed: Instant = LONG_AGO;
   private tellAt: Instant = LONG_AGO;
   private gapMs = FIRST_MS;
   private failures = 0;
@@ -36,7 +39,14 @@
     this.log('error', `the ${this.what} ${reason}`, { addr: this.addr, forS, failures: this.failures });
   }
 
+  /** Nothing has been served for a while, and requests fail. */
+  away(now: Instant): boolean {
+    if (this.downSince === null || this.lastServed >= this.lastFailure) return false;
+    return since(now, Math.max(this.downSince, this.lastServed) as Instant) > AWAY_MS;
+  }
+
   served(now: Instant): void {
+    this.lastServed = now;
     if (this.downSince === null || since(now, this.lastFailure) < GOOD_MS) return;
     const forS = Math.round(since(this.lastFailure, this.downSince) / 100) / 10;
     this.log('info', `the ${this.what} answers again`, { addr: this.addr, forS, failures: this.failures });
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -120,12 +120,21 @@
   get ready(): boolean {
     const { owner } = this.leadership;
     if (this.share?.recovery.unreadable) return false;
+    if (this.alone && this.io.stateAway) return false;
     if (owner?.node === this.settings.node && this.share?.recovery.loaded) return true;
     if (owner !== null && owner.node !== this.settings.node && this.peersUp.has(owner.node)) return true;
     // Without an owner in reach, submissions and questions go by the record.
     return this.leadership.readsRecord && this.catalogue.known;
   }
 
+  /** Cut off from every other controller: with the state service out of reach too, users are better served by any other. */
+  private get alone(): boolean {
+    if (this.settings.peers.length === 0) return false;
+    for (const node of this.peersUp)
+      if (!this.knowsFronts.has(node) || !this.fronts.isSilent(node)) return false;
+    return true;
+  }
+
   /** What an operator asks a node about itself. */
   describe(): Record<string, unknown> {
     const { share, leadership: l } = this;
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -130,11 +130,12 @@
     this.budget = new Budget(rate, Math.max(1, rate));
   }
 
-  tick(recovered: boolean): void {
+  /** `current`: no other owner can exist; one that is cut off returns no machine that may be at work for the next. */
+  tick(recovered: boolean, current: boolean): void {
     if (this.types.size === 0) return;
     this.list(recovered);
     // What is wanted is known from the last plan; before the first, nothing is idle for long enough.
-    this.returnMachines(recovered);
+    this.returnMachines(recovered, current);
     this.sendRequests();
     if (this.io.now >= this.nextPlan && recovered) {
       const gap = Math.max(PLAN_MS, this.machines.all.size * PLAN_MS_PER_MACHINE);
@@ -499,12 +500,13 @@
    * Machines stay in use until the call is made: with few calls a second, ones marked ahead of it stood idle, and
    * were paid for, beside waiting work. It goes ahead of renting, which repeats itself as long as anything waits.
    */
-  private returnMachines(mayReturnIdle: boolean): void {
+  private returnMachines(mayReturnIdle: boolean, current: boolean): void {
     if (this.releasingNow || this.io.now < this.releaseAt) return;
     const batch: Machine[] = [];
     const reasons = new Map<string, number>();
     for (const m of this.machines.all.values()) {
       if (batch.length >= RELEASE_MAX) break;
+      if (!current && (!m.up || m.quiet)) continue;
       const why = m.releasing ? 'settled' : mayReturnIdle ? this.reasonToReturn(m) : null;
       if (why === null) continue;
       batch.push(m);
--- a/src/core/reports/fronts.ts
+++ b/src/core/reports/fronts.ts
@@ -189,6 +189,11 @@
     for (const [m, r] of this.read) if (r.owner === node) this.read.delete(m);
   }
 
+  /** Whether the node has said nothing for some seconds; those that pass reports on say something every second. */
+  isSilent(node: NodeId): boolean {
+    return this.silentMs(node) >= SILENT_MS;
+  }
+
   private silentMs(node: NodeId): number {
     return since(this.io.now, this.heardAt.get(node) ?? LONG_AGO);
   }
--- a/src/core/share/recovery.ts
+++ b/src/core/share/recovery.ts
@@ -79,9 +79,10 @@
     this.takenAt = io.now;
   }
 
-  tick(): void {
+  /** `current`: no other owner can exist, whose machines would be taken for silent here. */
+  tick(current: boolean): void {
     if (!this.loaded) this.load();
-    else if (!this.complete) this.locate();
+    else if (!this.complete) this.locate(current);
   }
 
   private load(): void {
@@ -172,13 +173,18 @@
   }
 
   /** Machines not heard yet: asked with the new token, fenced by returning them if they stay silent. */
-  private locate(): void {
+  private locate(current: boolean): void {
     const silent = [...this.machines.all.values()].filter((m) => m.page !== null && !m.synced);
     if (silent.length === 0) return this.finish();
     const blocked = this.machinesBlockWork();
     for (const m of silent) {
       this.probe(m);
-      if (blocked && !m.releasing && this.io.now - this.loadedAt > this.fenceAfterMs(silent.length)) {
+      if (
+        current &&
+        blocked &&
+        !m.releasing &&
+        this.io.now - this.loadedAt > this.fenceAfterMs(silent.length)
+      ) {
         this.machines.giveBack(m);
         this.io.log('info', 'silent machine is returned to settle what it runs', { machine: m.id });
       }
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -222,7 +222,7 @@
   }
 
   tick(mayCommand: boolean): void {
-    this.recovery.tick();
+    this.recovery.tick(this.current());
     this.store.tick();
     this.needs.tick();
     // Any answer under the token renews a lease: past the bound these must not be answered either.
@@ -236,7 +236,7 @@
     this.accounts.tick(this.jobs.open.values());
     this.roster.tick();
     this.machines.tick(this.current(), mayCommand);
-    this.fleet.tick(this.recovery.complete && mayCommand);
+    this.fleet.tick(this.recovery.complete && mayCommand, this.current());
     if (!mayCommand) return this.close();
     if (this.io.now >= this.nextFit) {
       this.nextFit = later(this.io.now, FIT_MS);
@@ -295,7 +295,6 @@
     }
     const m = this.machines.all.get(r.machine) ?? this.adopt(r);
     if (m === null) return answer({ kind: 'elsewhere', node: null });
-    this.release(m);
     const commands = this.machines.report(m, r);
     if (commands === null) {
       // Older than what is known: its task list says nothing, and its worker has mostly given up waiting.
@@ -304,6 +303,8 @@
       // The worker takes one answer to it, and this may be the one: what is to be stopped is told again.
       return answer({ kind: 'orders', token, commands: this.machines.commands(m) });
     }
+    // Only a newer report shows it: a late copy sent the worker away from the answer that was held for it.
+    this.release(m);
     if (m.synced) this.machines.record(m);
     const h: Held = {
       m,
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -15,8 +15,9 @@
 const id = 'run-1' as JobId;
 
 /** A job with long tasks on some machines, and who is who. */
-function running(over: Partial<JobSpec> = {}): { w: World; leader: string; others: string[] } {
+function running(over: Partial<JobSpec> = {}, bootS = 5): { w: World; leader: string; others: string[] } {
   const w = new World();
+  for (const t of w.cloud.types) t.bootS = bootS;
   w.runS = 500;
   assert.equal(w.submit(job(id, { tasks: 8, ...over }))?.kind, 'accepted');
   assert.ok(w.until(() => w.holders(id).length > 0));
@@ -233,6 +234,48 @@
   assert.deepEqual(answers[1], answers[0]);
 });
 
+test('a leader cut off with the cloud in reach returns no machine that the next one uses', () => {
+  const { w, leader, others } = running({ tasks: 2 }, 30);
+  // Idle as far as the leader knows, when it is cut off: the next owner gives it work, and the cloud serves both.
+  assert.equal(w.submit(job('run-2', { tasks: 12 }), leader)?.kind, 'accepted');
+  assert.ok(w.until(() => w.holders('run-2').length >= 3));
+  w.run(62);
+  w.insist({ op: 'cancel', id: 'run-2' as JobId }, leader);
+  w.run(2);
+  cutLeader(w, leader);
+  for (const m of w.workers.keys()) w.cut(m, leader, 'drop');
+  assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 10));
+  assert.equal(w.submit(job('run-3', { tasks: 12 }), others[0]!)?.kind, 'accepted');
+  w.run(18);
+  assert.deepEqual(w.cloud.released, []);
+  assert.equal(w.nodes.get(leader)!.ready, false);
+  assert.equal(w.nodes.get(others[0]!)!.ready, true);
+  quiet(w);
+});
+
+test('a late copy of a report does not send its worker away from the answer that is held for it', () => {
+  const { w, leader } = running();
+  // Nothing is on the machine that comes up last: its answer waits for work.
+  w.submit(job('run-2', { tasks: 8 }), leader);
+  assert.ok(w.until(() => w.holders('run-2').length > 0));
+  w.insist({ op: 'cancel', id: 'run-2' as JobId }, leader);
+  w.run(3);
+  const idle = [...w.workers.values()].find((m) => m.live().length === 0 && m.tasks.size === 0)!;
+  const [old, last] = [idle.report(), idle.report()].map((r) => structuredClone(r));
+  const told: string[] = [];
+  const send = (name: string, report: typeof last) =>
+    w.request(
+      leader,
+      (req) => ({ kind: 'report', req, report: report! }),
+      (a: { kind: string }) => told.push(`${name} ${a.kind}`),
+    );
+  send('last', last);
+  send('copy', old);
+  assert.deepEqual(told, ['copy elsewhere']);
+  w.run(1.5);
+  assert.deepEqual(told, ['copy elsewhere', 'last orders']);
+});
+
 test('after an outage that ends all leases the machines are used again as they come back, and none is returned', () => {
   const w = new World();
   w.runS = 500;
