--- a/scripts/plays.ts
+++ b/scripts/plays.ts
@@ -37,7 +37,7 @@
   base: Play[];
 }
 
-const BENCH = 'more/fleet/bin/fleetbench';
+const BENCH = 'more/hunt/bin/fleetbench';
 
 export const entries = (): Entry[] => JSON.parse(readFileSync('scripts/plays.json', 'utf8')) as Entry[];
 
--- a/scripts/regress.ts
+++ b/scripts/regress.ts
@@ -16,7 +16,7 @@
 import { entries, judgeRow, playAll } from './plays.ts';
 
 const LEVELS = 'scripts/levels.json';
-const BENCH = 'more/fleet/bin/fleetbench';
+const BENCH = 'more/hunt/bin/fleetbench';
 const JOURNAL = 'journal';
 
 interface Entry {
