--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -64,6 +64,8 @@
   work: Work | null;
 }
 const WAIT_MS = 4000;
+/** An answer to a machine with work comes at once, if nothing holds it up. */
+const LATE_MS = 1000;
 /** Before it tries the next node. */
 const TURN_MS = 1000;
 /** A change is told no sooner after the last report. */
@@ -97,6 +99,10 @@
   private lastReport = 0;
   private armedAt = Number.POSITIVE_INFINITY;
   private hanging = false;
+  /** Answers that came while it hung; it reads them as it goes on. */
+  private unread: (() => void)[] = [];
+  /** Commands carried out long after the report that they answer. */
+  lateCommands = 0;
 
   constructor(
     private readonly place: WorkerPlace,
@@ -184,6 +190,7 @@
     this.hanging = true;
     this.place.after(ms, () => {
       this.hanging = false;
+      for (const read of this.unread.splice(0)) read();
       this.act();
     });
   }
@@ -241,19 +248,27 @@
     this.changed = false;
     this.lastReport = sentAt;
     const r = this.report();
-    this.place.sendReport(this, this.node, r, WAIT_MS, (a: WorkerAnswer | null) => {
+    const read = (a: WorkerAnswer | null): void => {
       if (no !== this.reportNo || this.dead) return;
+      if (this.hanging) {
+        this.unread.push(() => {
+          // Read late, it still counts, but not after the time for which a worker waits.
+          read(this.place.now - sentAt <= WAIT_MS ? a : null);
+        });
+        return;
+      }
       this.inFlight = false;
-      if (this.hanging) return;
       if (a === null) this.moveOn();
       else if (a.kind === 'elsewhere') this.follow(a.node);
       else if (session === this.session && a.token >= this.token) {
         this.see(a.token);
         this.leaseFrom = Math.max(this.leaseFrom, sentAt);
+        if (this.place.now - sentAt > LATE_MS) this.lateCommands += a.commands.length;
         for (const c of a.commands) this.execute(c);
       }
       this.arm();
-    });
+    };
+    this.place.sendReport(this, this.node, r, WAIT_MS, read);
   }
 
   private moveOn(): void {
--- a/scripts/copies.ts
+++ b/scripts/copies.ts
@@ -22,6 +22,10 @@
   restartS?: number;
   /** Factor on what teams are guaranteed and limited to. */
   quotas?: number;
+  /** Factor on how long tasks run. */
+  runS?: number;
+  /** The part of each class's jobs that their users cancel. */
+  cancelled?: number;
   /** Factor on a team's weight. */
   team?: { name: string; weight: number };
 }
@@ -36,7 +40,14 @@
   capacity: { type: string; zone: string; count: number; spot: number }[];
   /** Up at the start. */
   machines?: { type: string; zone: string; count: number }[];
-  jobs: { name: string; initial: number; arrivals: { rate: number }; images: { count: number } }[];
+  jobs: {
+    name: string;
+    initial: number;
+    arrivals: { rate: number };
+    images: { count: number };
+    run_s?: Record<string, number>;
+    cancelled?: number;
+  }[];
   teams?: ({ name: string; weight?: number } & { [quota in Quota]?: number })[];
   day?: { faults?: { zone?: string }[] }[];
 }
@@ -57,6 +68,8 @@
   if (c.zones !== undefined) rezone(site, c.zones);
   for (const j of site.jobs) {
     if (c.images !== undefined) j.images.count = scaled(j.images.count, c.images);
+    for (const k of Object.keys(j.run_s ?? {})) j.run_s![k]! *= c.runS ?? 1;
+    if (c.cancelled !== undefined) j.cancelled = c.cancelled;
     if (c.load !== undefined) {
       j.initial = scaled(j.initial, c.load);
       j.arrivals.rate *= c.load;
@@ -101,7 +114,7 @@
 }
 
 /**
- * A day of our own, made to fit a site: a zone called "@zone" is its last one, and a trouble for the class "@each" strikes
+ * A day of our own, made to fit a site: a zone called "@zone" is its last one, "@first" that of the first controller, and a trouble for the class "@each" strikes
  * each class, `EACH_S` seconds apart.
  */
 export function dayFor(day: string, site: string): string {
@@ -109,7 +122,9 @@
   const out = parse(day) as unknown as { day: { faults: Fault[] }[] };
   for (const d of out.day)
     d.faults = d.faults.flatMap((f) => {
-      const here = f.zone === '@zone' ? { ...f, zone: s.capacity.at(-1)!.zone } : f;
+      const zone =
+        f.zone === '@zone' ? s.capacity.at(-1)!.zone : f.zone === '@first' ? s.nodes.zones[0]! : f.zone;
+      const here = zone === undefined ? f : { ...f, zone };
       if (f.class !== '@each') return [here];
       return s.jobs.map((j, i) => ({ ...here, class: j.name, at_s: f.at_s + i * EACH_S }));
     });
@@ -149,6 +164,8 @@
     .option('--zones <n>', 'number of zones', Number)
     .option('--controllers <n>', 'number of controllers', Number)
     .option('--restart-s <seconds>', 'after which a controller that ends is back', Number)
+    .option('--run-s <factor>', 'how long tasks run', Number)
+    .option('--cancelled <part>', "of each class's jobs", Number)
     .option('--quotas <factor>', 'what teams are guaranteed and limited to', Number)
     .option('--team <name=factor>', "a team's weight");
   program.parse();
@@ -157,6 +174,8 @@
   if (o.controllers !== undefined) c.controllers = o.controllers;
   if (o.restartS !== undefined) c.restartS = o.restartS;
   if (o.quotas !== undefined) c.quotas = o.quotas;
+  if (o.runS !== undefined) c.runS = o.runS;
+  if (o.cancelled !== undefined) c.cancelled = o.cancelled;
   if (o.zone !== undefined) c.zone = { name: pair(o.zone).name, capacity: pair(o.zone).by };
   if (o.team !== undefined) c.team = { name: pair(o.team).name, weight: pair(o.team).by };
   const [site, out] = program.args as [string, string];
--- a/scripts/drill/run.ts
+++ b/scripts/drill/run.ts
@@ -4,6 +4,7 @@
   load: 'submissions to a lab in open loop, and the memory of the client',
   fleet:
     'days of a whole fleet on a simulated clock: who is served, waits, fairness, work lost; beside another version',
+  meetings: 'histories of two troubles at once over the world in memory, judged by the rules',
   hotpath: 'processor time of the core by input, against an earlier version',
 };
 const [name, ...rest] = process.argv.slice(2);
--- a/scripts/served.ts
+++ b/scripts/served.ts
@@ -1,6 +1,8 @@
 // Who was served least on a day: classes by the bench's report, teams by the service's own account in its log. Pure, so that
 // it is tested without the bench.
 
+import type { Refused } from './refused.ts';
+
 /** `up`: of services, the part of their replicas' time in which they were up. */
 interface ClassReport {
   accepted: number;
@@ -9,12 +11,16 @@
   done: number;
   tasks: number;
   up?: number;
+  /** Seconds to the first start, of jobs that had one. */
+  wait_s?: { max: number | null } | null;
 }
 
 /** What is read of a report (`fleetbench run --report`). */
 export interface Report {
   classes: Record<string, ClassReport>;
-  teams: Record<string, { jobs: number; started: number }>;
+  teams: Record<string, Started>;
+  /** Of each class its largest jobs, by the bench's own cut; benches before that of the -hunt sites do not tell. */
+  largest?: Record<string, Started>;
   targets: { kind: string; class?: string | null; within_s?: number; times?: number; value: number | null }[];
   rules_broken: { total: number };
   node_stats: { memory_peak_mb: number; connections_peak: number; restarts: { why: string }[] }[];
@@ -23,6 +29,11 @@
   fleet: { tasks_killed_by_lease: number; tasks_lost: number; price: number };
 }
 
+interface Started {
+  jobs: number;
+  started: number;
+}
+
 export interface Least {
   name: string;
   /**
@@ -39,6 +50,10 @@
   broken: number;
   leastClass: Least | null;
   leastTeam: Least | null;
+  /** Of any class's largest jobs; null if the report does not tell. */
+  leastLargest: Least | null;
+  /** Of any class: the longest time to a first start, in seconds; null if the report does not tell. */
+  longestStart: { name: string; s: number } | null;
   killedByLease: number;
   lost: number;
   /** Processor time that the day took to play; processes that ended by themselves; the most memory and sockets of one. */
@@ -47,10 +62,14 @@
   memoryMb: number;
   sockets: number;
   aims: Record<string, number>;
+  /** Of a play with a refused leader; see refused.ts. */
+  refused?: Refused & { cancelS: number };
 }
 
 /** Below this a day fails. */
 export const HALF = 0.5;
+/** Every job that starts at all is to start within this. */
+export const START_MAX_S = 240;
 /** A day that takes longer to play has failed too. */
 export const CPU_MAX_S = 400;
 
@@ -71,14 +90,23 @@
   least(Object.entries(r.classes).map(([name, c]) => ({ name, ...classPart(c), tasks: null })));
 
 /** By the report, which knows of starts only; what is done is told by the service itself (`leastTeam`). */
-export const leastStarted = (r: Report): Least | null =>
+const leastOf = (all: Record<string, Started>): Least | null =>
   least(
-    Object.entries(r.teams).map(([name, t]) => {
+    Object.entries(all).map(([name, t]) => {
       const started = part(t.started, t.jobs);
       return { name, jobs: started, started, tasks: null };
     }),
   );
 
+function longestStart(r: Report): Play['longestStart'] {
+  let longest: Play['longestStart'] = null;
+  for (const [name, c] of Object.entries(r.classes)) {
+    const s = c.wait_s?.max ?? null;
+    if (s !== null && (longest === null || s > longest.s)) longest = { name, s };
+  }
+  return longest;
+}
+
 const ACCOUNT = /\{.*"msg":"work served by team and class, least first".*\}/;
 
 interface Line {
@@ -134,7 +162,9 @@
     mark: mark === null ? null : Number(mark[1]),
     broken: report.rules_broken.total,
     leastClass: leastClass(report),
-    leastTeam: least([leastTeam(log), leastStarted(report)].filter((l) => l !== null)),
+    leastTeam: least([leastTeam(log), leastOf(report.teams)].filter((l) => l !== null)),
+    leastLargest: leastOf(report.largest ?? {}),
+    longestStart: longestStart(report),
     killedByLease: report.fleet.tasks_killed_by_lease,
     lost: report.fleet.tasks_lost,
     cpuS: [...report.spent.world, ...report.spent.processes].reduce((a, b) => a + b, 0),
@@ -155,8 +185,15 @@
   for (const [what, l] of [
     ['class', p.leastClass],
     ['team', p.leastTeam],
+    ['the largest of', p.leastLargest],
   ] as const)
     if (l !== null && l.jobs < HALF) out.push(`${what} ${l.name} served ${l.jobs.toFixed(2)}`);
+  const { longestStart: l } = p;
+  if (l !== null && l.s > START_MAX_S) out.push(`${l.name} waited ${Math.round(l.s)} s for a first start`);
+  const r = p.refused;
+  if (r?.met === 0) out.push('no job was cancelled past a refused leader: the play proves nothing');
+  if (r !== undefined && r.latestGoneS !== null && r.latestGoneS > r.cancelS)
+    out.push(`cancelled tasks may have lasted ${r.latestGoneS.toFixed(1)} s of ${r.cancelS}`);
   return out;
 }
 
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -286,9 +286,20 @@
       return once(request.op === 'submit' ? { ...known, kind: 'known' } : known);
     if (this.tooEarlyForChains(request, once)) return;
     if (this.share !== null && this.leadership.current) return this.serve(this.share, request, once);
+    this.giveUp(request);
     this.forward(request, once);
   }
 
+  /**
+   * Cut off from the state service, this node can't confirm a cancellation, but machines still follow it: what its user
+   * has no use for any more ends now, and is marked when the record can be written, if this term still stands then.
+   */
+  private giveUp(request: UserRequest): void {
+    if (request.op !== 'cancel' || this.share === null || !this.share.recovery.loaded) return;
+    const job = this.share.jobs.open.get(request.id);
+    if (job !== undefined && !job.unwanted && !job.writing) this.share.jobs.cancel(job, () => {});
+  }
+
   /** An owner of an earlier version would start the job at once: while there may be one, none is accepted. */
   private tooEarlyForChains(request: UserRequest, answer: (a: UserAnswer) => void): boolean {
     if (request.op !== 'submit' || request.spec.awaits === undefined) return false;
@@ -340,6 +351,15 @@
         return answer(this.overload.noMemory());
       return share.submit(request.spec, answer);
     }
+    const ending = share.jobs.open.get(request.id);
+    // Its end or its cancellation is on its way to the record: a moment later it is known.
+    if (request.op === 'status' && ending?.ending?.standing === 'sent') {
+      ending.afterEnd.push(() => {
+        if (this.share === share && this.leadership.current) this.serve(share, request, answer);
+        else this.withoutOwner(request, answer);
+      });
+      return;
+    }
     const known = share.status(request.id);
     if (request.op === 'status') return known === null ? this.lookup.ask(request.id, answer) : answer(known);
     const job = share.jobs.open.get(request.id);
@@ -376,7 +396,10 @@
   private withoutOwner(request: UserRequest, answer: (a: UserAnswer) => void): void {
     if (request.op === 'status') this.lookup.ask(request.id, answer);
     else if (request.op === 'submit') this.intake.accept(request.spec, answer);
-    else answer(retry('no controller can take this at the moment'));
+    else
+      this.lookup.ask(request.id, (a) =>
+        answer(a.kind === 'status' ? retry('no controller can take this at the moment') : a),
+      );
   }
 
   private dropForwarded(node: NodeId): void {
@@ -447,7 +470,10 @@
   private asked(node: NodeId, id: number, request: UserRequest): void {
     const reply = (answer: UserAnswer | null) =>
       this.io.emit({ kind: 'peer', node, message: { kind: 'reply', id, answer } });
-    if (this.share === null || !this.leadership.current) return reply(null);
+    if (this.share === null || !this.leadership.current) {
+      this.giveUp(request);
+      return reply(null);
+    }
     const once = this.inTime(reply, SERVE_MS[request.op]);
     if (!this.tooEarlyForChains(request, once)) this.serve(this.share, request, once);
   }
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -307,7 +307,7 @@
   /** What is hard to place goes first: accelerators, then gangs and other large tasks. */
   private demand(): Job[] {
     const out = [...this.jobs.open.values()].filter(
-      (j) => !j.cancelled && j.wanting > 0 && j.failedOn.size < 3,
+      (j) => !j.unwanted && j.wanting > 0 && j.failedOn.size < 3,
     );
     return out.sort(
       (a, b) =>
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -10,6 +10,7 @@
   type ZoneName,
 } from '../../types/index.ts';
 import type { JobSpec, JobStatus, Priority } from '../base/model.ts';
+import type { Write } from '../record/store.ts';
 
 export enum Task {
   Waiting = 0,
@@ -43,9 +44,13 @@
   doneCount = 0;
   running = 0;
   cancelled = false;
+  /** Its user has asked to cancel it, and the mark is not known to be on record yet. */
+  asked = false;
   /** A write to the job's record is under way. */
   writing = false;
   finishing = false;
+  /** The write that cancels or ends it, while its outcome is open; see `unsure`. */
+  ending: Pick<Write, 'standing'> | null = null;
   /** Its final state is on record. */
   over = false;
   /** Tasks that exist on machines or may: index to entry. */
@@ -226,6 +231,19 @@
     else this.zones.delete(zone);
   }
 
+  /** Nobody has any use for what its tasks do: cancelled on record, or asked to be. */
+  get unwanted(): boolean {
+    return this.cancelled || this.asked;
+  }
+
+  /**
+   * Its cancellation or its end may stand on record without this owner knowing: whoever reads the record may have
+   * told it to its user, who must not be given an older answer here.
+   */
+  get unsure(): boolean {
+    return this.ending !== null && this.ending.standing !== 'waiting';
+  }
+
   status(): JobStatus {
     if (this.cancelled) return 'cancelled';
     return this.running > 0 ? 'running' : 'queued';
--- a/src/core/jobs/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -7,7 +7,7 @@
 import { Rank } from '../base/statebudget.ts';
 import { FINAL, type FinalRecord, MORE, OPEN } from '../record/keys.ts';
 import { moreKeys, partOf, recordPuts, type StoredJob } from '../record/record.ts';
-import { bytesOf, Priorities, type Store, type WriteResult } from '../record/store.ts';
+import { bytesOf, Priorities, type Store, type Write, type WriteResult } from '../record/store.ts';
 import { Job } from './job.ts';
 import type { Progress } from './progress.ts';
 
@@ -32,6 +32,8 @@
   /** Open jobs with tasks that wait for a place. */
   readonly waiting = new Set<Job>();
   private readonly finals = new Map<JobId, Final>();
+  /** Jobs whose cancellation is being written. */
+  readonly asked = new Set<Job>();
   private readonly accepting = new Map<JobId, ((a: UserAnswer) => void)[]>();
   /** Acceptances of each team that are being written. */
   private readonly beingAccepted = new Map<TeamName, number>();
@@ -42,6 +44,8 @@
   onAccepted: (job: Job) => void = () => {};
   /** A job ended: take its tasks out of queues. */
   onEnded: (job: Job) => void = () => {};
+  /** A job that was asked to be cancelled goes on: the state service would not take the mark. */
+  onWanted: () => void = () => {};
   /** Its final state is on record. */
   onClosed: (job: Job, status: 'done' | 'cancelled') => void = () => {};
 
@@ -176,6 +180,11 @@
     });
   }
 
+  /**
+   * The job is given up at the request, before its mark is on record: nobody has any use for its work from then on. If
+   * the mark is carried out without an answer, a node that reads the record tells the user that it is cancelled while
+   * this owner, refused by the state service from then on, does not know it (docs/safety.md, point 15).
+   */
   cancel(job: Job, answer: (a: UserAnswer) => void): void {
     if (job.cancelled) return answer({ kind: 'ended', id: job.id, status: 'cancelled' });
     if (job.writing) {
@@ -184,9 +193,12 @@
       return;
     }
     job.writing = true;
+    job.asked = true;
+    this.asked.add(job);
+    this.onEnded(job);
     const nonce = this.store.nonce();
     const value = this.cancelMark(job, nonce);
-    this.store.write({
+    const write: Write = {
       conditions: [{ key: OPEN + job.id, revision: job.revision }],
       puts: [{ key: OPEN + job.id, value }],
       drops: [],
@@ -195,16 +207,35 @@
       priority: Priorities.cancel,
       done: (r) => {
         job.writing = false;
-        if (r.kind !== 'ok') return answer(retry('the job is changing'));
-        job.revision = r.revision;
-        job.cancelled = true;
-        this.io.log('info', 'job cancelled', { job: job.id });
-        this.onEnded(job);
-        this.watcher?.spread(job);
-        answer({ kind: 'ended', id: job.id, status: 'cancelled' });
-        this.runAfter(job);
+        job.asked = false;
+        job.ending = null;
+        this.asked.delete(job);
+        this.onMark(job, r, answer);
       },
-    });
+    };
+    job.ending = write;
+    this.store.write(write);
+  }
+
+  private onMark(job: Job, r: WriteResult, answer: (a: UserAnswer) => void): void {
+    // The term is over: whoever waits here is answered by the next owner, or by the record.
+    if (r.kind === 'lost') return answer(retry('the job service is changing hands'));
+    const marked =
+      r.kind === 'ok' || (r.kind === 'conflict' && (r.item?.value as StoredJob | undefined)?.c === 1);
+    if (r.kind === 'ok') job.revision = r.revision;
+    // Written by a copy of an earlier try: compared with what is there from now on.
+    else if (r.kind === 'conflict' && r.item !== null) job.revision = r.item.revision;
+    if (marked) {
+      job.cancelled = true;
+      this.io.log('info', 'job cancelled', { job: job.id });
+      this.onEnded(job);
+      this.watcher?.spread(job);
+      answer({ kind: 'ended', id: job.id, status: 'cancelled' });
+    } else {
+      this.onWanted();
+      answer(retry('the job is changing'));
+    }
+    this.runAfter(job);
   }
 
   /** A record from before the limits fell may be too large to write again; a cancelled job needs no lists. */
@@ -228,6 +259,9 @@
   /** A machine reported the task's result. */
   taskDone(job: Job, index: number): void {
     if (job.spec.kind === 'service' || !job.setDone(index)) return;
+    // The tasks of a gang complete together. Waited for one by one, they may never all be heard: where a result is kept
+    // the task ends at once when it is started again, and the others wait for it in vain.
+    if (job.spec.kind === 'gang') for (let i = 0; i < job.spec.tasks; i++) job.setDone(i);
     if (job.left === 0) this.finish(job);
     else this.progress.note(job, index);
   }
@@ -258,7 +292,7 @@
     const drops = [OPEN + job.id, ...moreKeys(job.id, job.parts)];
     const value: FinalRecord = { s: status, w: nonce, t: this.io.wall };
     const puts: Put[] = [{ key: FINAL + job.id, value }];
-    this.store.write({
+    const write: Write = {
       conditions,
       puts,
       drops,
@@ -268,10 +302,18 @@
       done: (r) => {
         job.writing = false;
         job.finishing = false;
-        if (r.kind === 'ok') this.close(job, status, value.t!);
-        else this.io.log('info', 'final state not written', { job: job.id, result: r.kind });
+        job.ending = null;
+        if (r.kind === 'ok') return this.close(job, status, value.t!);
+        if (r.kind === 'lost') return;
+        this.io.log('info', 'final state not written', { job: job.id, result: r.kind });
+        // A copy of an earlier try went through: what it says is what users are told.
+        const found = r.kind === 'conflict' ? (r.item?.value as FinalRecord | undefined) : undefined;
+        if (found !== undefined) this.close(job, found.s, (found.t ?? value.t!) as WallTime);
+        else this.runAfter(job);
       },
-    });
+    };
+    job.ending = write;
+    this.store.write(write);
   }
 
   private close(job: Job, status: 'done' | 'cancelled', at: WallTime): void {
--- a/src/core/jobs/needs.ts
+++ b/src/core/jobs/needs.ts
@@ -177,15 +177,17 @@
   }
 
   /**
-   * Whether a job may turn out to be cancelled because of one whose final state has not been read yet. Until then
-   * nothing may be said of it: an earlier owner may have told a user that it is cancelled.
+   * Whether a job may turn out to be cancelled because of one whose final state has not been read yet, or whose
+   * cancellation may be on record already. Until that is known nothing may be said of it: another node may have told
+   * a user that it is cancelled.
    */
   uncertain(job: Job): boolean {
-    if (this.unknown.size === 0 || job.needs.size === 0) return false;
+    if ((this.unknown.size === 0 && this.jobs.asked.size === 0) || job.needs.size === 0) return false;
     const seen = new Set<JobId>(job.needs);
     for (const id of seen) {
-      if (this.unknown.has(id)) return true;
-      for (const next of this.jobs.open.get(id)?.needs ?? []) seen.add(next);
+      const need = this.jobs.open.get(id);
+      if (this.unknown.has(id) || (need?.asked && need.unsure)) return true;
+      for (const next of need?.needs ?? []) seen.add(next);
     }
     return false;
   }
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -57,6 +57,8 @@
   page: RecordPage | null = null;
   recording = false;
   releasing = false;
+  /** Its lease has run out while nobody was answered: by when it is taken to be gone, if it does not report before. */
+  backBy: Instant | null = null;
   /** Not heard when it should have been: nothing can be started on it before it is. */
   quiet = false;
   readonly entries = new Map<string, Entry>();
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -2,10 +2,12 @@
 import {
   type Attempt,
   type Instant,
+  LONG_AGO,
   later,
   type MachineId,
   NEVER,
   type Revision,
+  since,
   splitTask,
   type Token,
   type ZoneName,
@@ -27,6 +29,9 @@
 /** Reports are up to this many periods apart, and on their way for a moment. */
 const LATEST_REPORT = 1.25;
 const QUIET_MS = 1500;
+/** Workers that nobody has answered go round by all nodes. */
+const BACK_PERIODS = 3;
+const BACK_MORE_MS = 10_000;
 const BACKOFF_MS = 1000;
 const BACKOFF_MAX_MS = 20_000;
 
@@ -56,6 +61,11 @@
   private readonly rooms: Rooms;
   private readonly host: MachinesHost;
   readonly token: Token;
+  /** No machine may be commanded at present; and when that was last over. */
+  private stoodStill = false;
+  private resumedAt: Instant = LONG_AGO;
+  /** So long after that all machines that are there have reported. */
+  private readonly backMs: number;
 
   constructor(
     io: Outbox,
@@ -75,6 +85,7 @@
     this.rooms = rooms;
     this.host = host;
     this.token = term as number as Token;
+    this.backMs = BACK_PERIODS * settings.workers.reportS * 1000 + BACK_MORE_MS;
     roster.onRecorded = (m) => this.onRecorded(m);
   }
 
@@ -126,6 +137,7 @@
     m.up = true;
     m.lastReport = this.io.now;
     m.quiet = false;
+    m.backBy = null;
     this.setNotice(m, r.noticeS);
     if (!m.plain || tasks !== m.listed) this.readTasks(m, tasks, r.seq);
     if (!m.empty) m.idleSince = this.io.now;
@@ -358,7 +370,9 @@
       return;
     }
     const { job: id, index } = splitTask(t.task);
-    const job = this.jobs.open.get(id);
+    const e = m.entries.get(key);
+    // Over already, as a gang is with its first task, it is still on this machine as far as is known.
+    const job = this.jobs.open.get(id) ?? e?.job;
     const exit: Exited = {
       task: t.task,
       attempt: t.attempt,
@@ -370,7 +384,6 @@
     t.exit = exit;
     m.exited.set(key, exit);
     if (job === undefined || index >= job.spec.tasks) return;
-    const e = m.entries.get(key);
     this.judge(m, job, index, t, e);
     if (e !== undefined) this.gone(m, e);
   }
@@ -407,7 +420,8 @@
     if (!badJob && m.errorsInRow >= SICK_AFTER) this.drainMachine(m, 'fails what it starts');
   }
 
-  private commands(m: Machine): Command[] {
+  /** What the machine is to be told, as far as it follows from what is known of it; every one may be told again. */
+  commands(m: Machine): Command[] {
     const out: Command[] = [];
     for (const x of m.exited.values())
       if (x.why !== 'done' || this.jobs.recorded(this.jobs.open.get(x.job), x.index))
@@ -419,7 +433,7 @@
 
   private stopIfNeeded(m: Machine, e: Entry, out: Command[]): void {
     const task = `${e.job.id}/${e.index}` as Stray['task'];
-    if (e.job.cancelled || e.job.state[e.index] === Task.Done) e.stopping = { graceS: 0 };
+    if (e.job.unwanted || e.job.state[e.index] === Task.Done) e.stopping = { graceS: 0 };
     else if (e.stopping === null && this.noticeNear(m, e)) e.stopping = { graceS: e.job.spec.saveS + 1 };
     if (e.stopping === null || e.state === 'sent') return;
     // Saving goes on undisturbed; only a stop without grace is repeated over it.
@@ -471,10 +485,16 @@
    * Silent machines: once the lease has run out, what was on them is free to start elsewhere. Only while no other
    * owner can exist: one that took over meanwhile hears the machine and renews the lease, and its tasks go on.
    */
-  tick(current: boolean): void {
+  tick(current: boolean, commands: boolean): void {
+    if (!commands) this.stoodStill = true;
+    else if (this.stoodStill) {
+      this.stoodStill = false;
+      this.resumedAt = this.io.now;
+    }
     const lateMs = this.settings.workers.reportS * 1000 * LATEST_REPORT + QUIET_MS;
     for (const m of this.all.values()) {
       if (m.up && !m.quiet && this.io.now - m.lastReport > lateMs) this.quieten(m);
+      if (m.backBy !== null && this.io.now > m.backBy) this.giveUp(m);
       if (!current || this.io.now < m.leaseEnds) continue;
       if (m.entries.size > 0)
         this.io.log('info', 'tasks lost: lease ran out', { machine: m.id, tasks: m.entries.size });
@@ -483,13 +503,31 @@
       this.clear(m);
       // Empty for certain: a later owner need not wait for it, and it is recorded anew if it comes back.
       this.roster.unrecord(m);
-      m.synced = true;
-      this.touch(m);
-      this.drainMachine(m, 'silent');
+      if (since(this.io.now, this.resumedAt) < this.backMs) this.awaitBack(m);
+      else this.giveUp(m);
     }
     for (const [id, at] of this.buried) if (this.io.now - at > 300_000) this.buried.delete(id);
   }
 
+  /**
+   * It was this owner that answered nobody, for as long as the state service was away; its machines are there, with nothing on
+   * them, and come back in a new session. Returned for silence, the whole fleet would have to be rented and booted anew.
+   */
+  private awaitBack(m: Machine): void {
+    m.synced = false;
+    m.quiet = false;
+    m.lastReport = this.io.now;
+    m.backBy = later(this.resumedAt, this.backMs);
+    this.touch(m);
+  }
+
+  private giveUp(m: Machine): void {
+    m.backBy = null;
+    m.synced = true;
+    this.touch(m);
+    this.drainMachine(m, 'silent');
+  }
+
   /** What is queued there could start only with its next report, which may never come: it goes where it can start now. */
   private quieten(m: Machine): void {
     m.quiet = true;
--- a/src/core/membership/leadership.ts
+++ b/src/core/membership/leadership.ts
@@ -12,7 +12,11 @@
  */
 export const HOLD_MS = 3000;
 const EXTEND_EVERY_MS = 750;
-const EXTEND_TIMEOUT_MS = 800;
+/**
+ * A renewal that is answered late still counts from when it was sent, and the next goes out meanwhile: given up sooner,
+ * none would ever count while the state service takes longer, and nobody would own the share as the hold lives on.
+ */
+const EXTEND_TIMEOUT_MS = 2700;
 const EXTEND_AGAIN_MS = 200;
 /** So long a node lets each that stands before it in the list go first: a grant and a commit take less. */
 const TURN_MS = 100;
@@ -41,10 +45,11 @@
   confirmedAt: Instant = LONG_AGO;
   private hold: HoldId | null = null;
   private busy = false;
-  private extending = false;
   private nextExtend: Instant = LONG_AGO;
   private nextTry: Instant = LONG_AGO;
   private watching = false;
+  /** Numbers what was asked about the share: an answer to what was asked before a re-read is not looked at. */
+  private asked = 0;
   private watchFrom: Revision | null = null;
   private unownedSince: Instant | null = null;
   /** An owner under a revision up to this is over: the record has been read without one since. */
@@ -99,19 +104,34 @@
     this.lose('a machine has seen a higher token');
     this.owner = null;
     this.unownedSince = null;
+    this.reread();
+  }
+
+  /**
+   * Who owns the share must be read again, and at once. A watch that is open tells only of changes from where it began:
+   * left to end, it would make this node wait for a change that may never come, while nobody owns the share.
+   */
+  private reread(): void {
     this.watchFrom = null;
+    this.watching = false;
+    this.asked++;
   }
 
   private watch(): void {
     if (this.io.now < this.nextTry) return;
     this.watching = true;
+    const no = ++this.asked;
     if (this.watchFrom === null)
-      this.io.state({ kind: 'list', prefix: 'share/', after: null }, Rank.hold, (r) => this.onList(r));
+      this.io.state({ kind: 'list', prefix: 'share/', after: null }, Rank.hold, (r) => {
+        if (no === this.asked) this.onList(r);
+      });
     else
       this.io.state(
         { kind: 'watch', prefix: 'share/', after: this.watchFrom, waitMs: WATCH_MS },
         Rank.hold,
-        (r) => this.onChanges(r),
+        (r) => {
+          if (no === this.asked) this.onChanges(r);
+        },
         WATCH_MS + 3000,
       );
   }
@@ -199,7 +219,7 @@
       // Without an answer the take-over may still be applied; the hold is left to end, and with it the key.
       if (r.kind === 'no-answer') io.state({ kind: 'revoke', hold }, Rank.hold, () => {});
       this.unownedSince = null;
-      this.watchFrom = null;
+      this.reread();
       this.backOff();
     });
   }
@@ -224,21 +244,18 @@
 
   private extend(): void {
     const { io } = this;
-    if (this.extending || io.now < this.nextExtend || this.hold === null) return;
-    this.extending = true;
+    if (io.now < this.nextExtend || this.hold === null) return;
     const sentAt = io.now;
+    this.nextExtend = later(sentAt, EXTEND_EVERY_MS);
     const term = this.term;
     io.state(
       { kind: 'extend', hold: this.hold },
       Rank.hold,
       (r) => {
-        this.extending = false;
         if (this.term !== term) return;
-        if (r.kind === 'ok') {
-          this.confirm(sentAt);
-          this.nextExtend = later(sentAt, EXTEND_EVERY_MS);
-        } else if (r.kind === 'missing') this.lose('the hold has ended');
-        else this.nextExtend = later(io.now, EXTEND_AGAIN_MS);
+        if (r.kind === 'ok') this.confirm(sentAt);
+        else if (r.kind === 'missing') this.lose('the hold has ended');
+        else this.nextExtend = Math.min(this.nextExtend, later(io.now, EXTEND_AGAIN_MS)) as Instant;
       },
       EXTEND_TIMEOUT_MS,
     );
@@ -251,7 +268,7 @@
     this.hold = null;
     this.holdEnds = LONG_AGO;
     if (this.owner?.node === this.me) this.owner = null;
-    this.watchFrom = null;
+    this.reread();
     this.host.onLost(why);
   }
 }
--- a/src/core/placement/fit.ts
+++ b/src/core/placement/fit.ts
@@ -73,7 +73,7 @@
       { spec: JobSpec; n: number; wanted: number; priority: number; room: Room }
     >();
     for (const j of jobs) {
-      if (j.cancelled) continue;
+      if (j.unwanted) continue;
       const s = sums.get(j.spec.class) ?? {
         spec: j.spec,
         n: 0,
--- a/src/core/placement/gather.ts
+++ b/src/core/placement/gather.ts
@@ -65,7 +65,7 @@
     this.yields.begin(this.machines.all.size);
     this.inPool.clear();
     for (const [m, h] of this.holds) {
-      const over = h.job.over || h.job.cancelled || h.job.waiting === 0;
+      const over = h.job.over || h.job.unwanted || h.job.waiting === 0;
       if (over || m.place === null || this.io.now >= h.until) this.release(m);
       else this.inPool.set(m.place.pool, (this.inPool.get(m.place.pool) ?? 0) + 1);
     }
--- a/src/core/placement/ranking.ts
+++ b/src/core/placement/ranking.ts
@@ -61,7 +61,7 @@
     const { now, wall } = this.io;
     const rows: Row[] = [];
     for (const job of this.jobs.waiting) {
-      if (job.cancelled || now < job.retryAt) continue;
+      if (job.unwanted || now < job.retryAt) continue;
       const age = ageS(job, now, wall);
       const dues = this.ordering.duesS(job, now, wall);
       const slack = slackOf(dues, age);
--- a/src/core/placement/yields.ts
+++ b/src/core/placement/yields.ts
@@ -45,7 +45,7 @@
     const { job } = e;
     if (job.priority >= forJob.priority || job.spec.kind !== 'array' || job.spec.checkpointS <= 0)
       return null;
-    if (e.state !== 'running' || e.stopping !== null || e.runningAt === null || job.cancelled) return null;
+    if (e.state !== 'running' || e.stopping !== null || e.runningAt === null || job.unwanted) return null;
     if (since(this.io.now, e.runningAt as Instant) < RAN_MS) return null;
     if ((this.times.get(job)?.get(e.index) ?? 0) >= TIMES) return null;
     return this.reportS + job.spec.saveS + 1;
--- a/src/core/record/store.ts
+++ b/src/core/record/store.ts
@@ -28,6 +28,11 @@
   done: (r: WriteResult) => void;
   /** Its transaction was rejected along with others: it is sent on its own, so that it alone fails. */
   alone?: boolean;
+  /**
+   * What is known of it: nothing of it can be on record; a copy is under way; or a copy was never answered, and may
+   * have been carried out or be carried out later, until a newer copy is answered. Kept by the store.
+   */
+  standing?: 'waiting' | 'sent' | 'unanswered';
 }
 
 /**
@@ -39,6 +44,14 @@
 
 const MAX_BYTES = 48 * 1024;
 const RETRY_MS = 250;
+/**
+ * How long a transaction is waited for: answers take some milliseconds, now and then a few hundred; and longer while they do.
+ * One that is repeated too soon is found on record.
+ */
+const PATIENCE_MS = 800;
+const PATIENCE_MAX_MS = 2000;
+const PATIENCE_TIMES = 4;
+const PATIENCE_GROWS = 1.6;
 /** Part of the region's write budget that the owner uses; others write only while they cannot reach it. */
 const WRITE_SHARE = 0.92;
 /** After a refusal for too many changes the lower rate is kept for this long. */
@@ -49,6 +62,7 @@
   private inFlight: Write[] | null = null;
   private notBefore: Instant = LONG_AGO;
   private nonces = 0;
+  private patienceMs = PATIENCE_MS;
   /** Since when the state service has refused or not answered; null while it serves. */
   downSince: Instant | null = null;
   private readonly writes: Budget;
@@ -85,6 +99,7 @@
   }
 
   write(w: Write): void {
+    w.standing = 'waiting';
     let at = this.queue.length;
     while (at > 0 && after(this.queue[at - 1]!, w)) at--;
     this.queue.splice(at, 0, w);
@@ -135,17 +150,30 @@
 
   private send(batch: Write[]): void {
     this.inFlight = batch;
+    const sentAt = this.io.now;
+    for (const w of batch) if (w.standing === 'waiting') w.standing = 'sent';
     const conditions = [{ key: OWNER_KEY, revision: this.term }, ...batch.flatMap((w) => w.conditions)];
     const puts = batch.flatMap((w) => w.puts);
     const drops = batch.flatMap((w) => w.drops);
     this.io.state(
       { kind: 'commit', conditions, puts, drops },
       Rank.owner,
-      (r) => this.onReply(batch, r),
-      2000,
+      (r) => {
+        this.heed(r, this.io.now - sentAt);
+        this.onReply(batch, r);
+      },
+      this.patienceMs,
     );
   }
 
+  /** Only one transaction is under way at a time: one that will never be answered must not hold up the rest for long. */
+  private heed(r: StateReply, tookMs: number): void {
+    this.patienceMs =
+      r.kind === 'no-answer'
+        ? Math.min(PATIENCE_MAX_MS, this.patienceMs * PATIENCE_GROWS)
+        : Math.min(PATIENCE_MAX_MS, Math.max(PATIENCE_MS, tookMs * PATIENCE_TIMES));
+  }
+
   private onReply(batch: Write[], r: StateReply): void {
     this.inFlight = null;
     if (r.kind === 'committed') {
@@ -158,6 +186,9 @@
       // Refused or unanswered: the same batch again. Its conditions let at most one of the copies through,
       // however late the first one is applied; a conflict is then resolved by reading.
       if (r.kind !== 'refused' || !r.busy) this.downSince ??= this.io.now;
+      for (const w of batch)
+        if (r.kind === 'no-answer') w.standing = 'unanswered';
+        else notDone(w);
       this.queue.unshift(...batch);
       this.notBefore = later(this.io.now, RETRY_MS);
     }
@@ -167,7 +198,10 @@
   /** One bad write must not fail the others of its transaction. */
   private onRejected(batch: Write[], reason: string): void {
     if (batch.length > 1) {
-      for (const w of batch) w.alone = true;
+      for (const w of batch) {
+        w.alone = true;
+        notDone(w);
+      }
       this.queue.unshift(...batch);
       return;
     }
@@ -188,7 +222,10 @@
     const clean: Write[] = [];
     for (const w of batch) {
       if (w.conditions.some((c) => bad.has(c.key))) this.settle(w);
-      else clean.push(w);
+      else {
+        notDone(w);
+        clean.push(w);
+      }
     }
     this.queue.unshift(...clean);
   }
@@ -210,6 +247,11 @@
   }
 }
 
+/** The last copy was not carried out; an earlier one without an answer may have been. */
+const notDone = (w: Write): void => {
+  if (w.standing === 'sent') w.standing = 'waiting';
+};
+
 const after = (a: Write, b: Write): boolean =>
   a.priority > b.priority || (a.priority === b.priority && (a.turn ?? 0) > (b.turn ?? 0));
 
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -59,7 +59,11 @@
 const NEEDS_SHOWN = 20;
 
 /** Workers give up after 4 s. */
-const EARLY_MS = 2500;
+const EARLY_MS = 3300;
+/** A report is sent this long before it is read, at the most: later its worker drops the answer. */
+const LATE_REPORT_MS = 4500;
+/** Twice what steady clocks drift apart. */
+const DRIFT = 1.001;
 /** A report that had to wait for the records is answered this soon after it has been read. */
 const LATE_MS = 500;
 /** Read so many a tick and, as other inputs come, so many with each: the fleet's reports must not hold up the timer. */
@@ -102,6 +106,9 @@
   private readonly held = new Map<MachineId, Held>();
   private readonly holdMs: number;
   private readonly early: Parking;
+  /** When machines were first answered, while the records are being read. */
+  private readonly raised = new Map<MachineId, Instant>();
+  private readonly unreadMs: number;
   private readonly door: Door;
   private readonly estimates = new Estimates();
   private readonly io: Outbox;
@@ -122,6 +129,8 @@
   ) {
     this.current = current;
     this.early = new Parking(io, EARLY_MS);
+    const { cancelS, leaseS } = settings.workers;
+    this.unreadMs = (cancelS - 2 * leaseS * DRIFT) * 1000;
     this.door = new Door(io);
     this.io = io;
     this.settings = settings;
@@ -202,6 +211,7 @@
     };
     this.recovery.onComplete = () => this.dispatch.poke();
     this.jobs.onEnded = (job) => this.unqueue(job);
+    this.jobs.onWanted = () => this.dispatch.poke();
     this.accounts = new Accounts(io, this.store, term);
     this.jobs.onClosed = (job, status) => this.accounts.closed(job, status);
   }
@@ -225,7 +235,7 @@
     this.jobs.tick();
     this.accounts.tick(this.jobs.open.values());
     this.roster.tick();
-    this.machines.tick(this.current());
+    this.machines.tick(this.current(), mayCommand);
     this.fleet.tick(this.recovery.complete && mayCommand);
     if (!mayCommand) return this.close();
     if (this.io.now >= this.nextFit) {
@@ -279,8 +289,8 @@
     if (!this.recovery.loaded) {
       // Raising the token is all that may be done before the records are read. A report made after that waits for
       // them: answered unread, its machine would be heard a whole report period later.
-      if (r.token === token) this.early.add(r, answer, by);
-      else answer({ kind: 'orders', token, commands: [] });
+      if (r.token !== token && this.mayRaise(r.machine)) answer({ kind: 'orders', token, commands: [] });
+      else this.early.add(r, answer, by);
       return;
     }
     const m = this.machines.all.get(r.machine) ?? this.adopt(r);
@@ -291,7 +301,8 @@
       // Older than what is known: its task list says nothing, and its worker has mostly given up waiting.
       if (!m.mayAnswer(r)) return answer({ kind: 'elsewhere', node: null });
       this.machines.answered(m);
-      return answer({ kind: 'orders', token, commands: [] });
+      // The worker takes one answer to it, and this may be the one: what is to be stopped is told again.
+      return answer({ kind: 'orders', token, commands: this.machines.commands(m) });
     }
     if (m.synced) this.machines.record(m);
     const h: Held = {
@@ -314,9 +325,9 @@
     if (f.whole !== null) return this.report(f.whole, answer);
     if (!this.recovery.loaded)
       return answer(
-        f.token === this.machines.token
-          ? { kind: 'whole' }
-          : { kind: 'orders', token: this.machines.token, commands: [] },
+        f.token !== this.machines.token && this.mayRaise(f.machine)
+          ? { kind: 'orders', token: this.machines.token, commands: [] }
+          : { kind: 'whole' },
       );
     const m = this.machines.all.get(f.machine);
     if (m === undefined || m.addr === null || m.listed === null) return answer({ kind: 'whole' });
@@ -333,10 +344,32 @@
 
   /** Reports that came before the records were read: in portions, as a whole fleet may have sent one. */
   private readEarly(most: number): void {
-    if (this.recovery.loaded)
+    if (this.recovery.loaded) {
+      this.raised.clear();
       for (const e of this.early.take(most)) this.report(e.report, e.answer, later(e.until, LATE_MS));
+    }
     const { token } = this.machines;
-    for (const e of this.early.overdue()) e.answer({ kind: 'orders', token, commands: [] });
+    for (const e of this.early.overdue())
+      e.answer(
+        this.mayRaise(e.report.machine)
+          ? { kind: 'orders', token, commands: [] }
+          : { kind: 'elsewhere', node: null },
+      );
+  }
+
+  /**
+   * Whether a machine may be answered, and its lease renewed, before the records are read. What an earlier owner told a
+   * user is cancelled may run there, and this owner does not know it yet. The machine lived on its last answer without a
+   * stop when it was first heard, so that was given a lease ago at the most, and the user was told no sooner. An answer
+   * now adds a lease: all must be gone within `cancel_s` of what may have been told, however long the records can't be
+   * read (docs/safety.md, point 15).
+   */
+  private mayRaise(id: MachineId): boolean {
+    const first = this.raised.get(id);
+    if (first !== undefined) return this.io.now <= first + this.unreadMs - LATE_REPORT_MS;
+    if (this.unreadMs < 0) return false;
+    this.raised.set(id, this.io.now);
+    return true;
   }
 
   /** Answers a held report that has something to tell, or whose time is up. */
@@ -346,9 +379,16 @@
     if (this.io.now < h.until && (this.awaitsPass(h) || this.awaitsWork(h))) return;
     this.held.delete(m.id);
     this.machines.answered(m);
+    if (!this.current()) this.tellBeyond(m);
     h.answer({ kind: 'orders', token: this.machines.token, commands: h.commands });
   }
 
+  /** For plays of a refused leader: who follows it while another may own the share (scripts/refused.ts). */
+  private tellBeyond(m: Machine): void {
+    const jobs = new Set([...m.entries.values()].map((e) => e.job.id));
+    this.io.log('debug', 'answered beyond the hold', { machine: m.id, jobs: [...jobs] });
+  }
+
   /** How long a start sent to the machine waits for its next report; none if one is held. */
   private answerInS(m: Machine): number {
     if (this.held.has(m.id)) return 0;
@@ -405,10 +445,10 @@
 
   submit(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const job = this.jobs.open.get(spec.id);
-    if (job !== undefined)
-      return answer(
-        this.needs.uncertain(job) ? UNCERTAIN : { kind: 'known', id: spec.id, status: job.status() },
-      );
+    if (job !== undefined) {
+      const a = this.statusOf(job);
+      return answer(a.kind === 'retry' ? a : { kind: 'known', id: spec.id, status: job.status() });
+    }
     const final = this.jobs.final(spec.id);
     if (final !== null) return answer({ kind: 'known', id: spec.id, status: final.status });
     if (!this.recovery.loaded) return answer(retry('the jobs on record are being read'));
@@ -465,7 +505,13 @@
       const final = this.jobs.final(id);
       return final === null ? null : { kind: 'ended', id, status: final.status };
     }
+    return this.statusOf(job);
+  }
+
+  private statusOf(job: Job): UserAnswer {
+    const { id } = job;
     if (job.cancelled) return { kind: 'ended', id, status: 'cancelled' };
+    if (job.unsure) return UNSURE;
     if (this.needs.uncertain(job)) return UNCERTAIN;
     return {
       kind: 'status',
@@ -479,3 +525,4 @@
 }
 
 const UNCERTAIN = retry('the jobs that it awaits are being read');
+const UNSURE = retry('its end or its cancellation is being written');
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -40,6 +40,7 @@
 export class Node {
   private readonly core: Controller;
   private readonly state: HttpClient;
+  private readonly holds: HttpClient;
   /** Watches block; they have connections of their own. */
   private readonly watches: HttpClient;
   private readonly cloud: HttpClient;
@@ -60,6 +61,8 @@
     this.heap = new Heap(settings.ramMb);
     this.core = new Controller(settings, options.dispatch, seeded(options.seed));
     this.state = new HttpClient(settings.stateAddr, 4, MAX_REPLY);
+    // Renewals that hang must not hold up what else is asked, nor the next renewal.
+    this.holds = new HttpClient(settings.stateAddr, 5, MAX_REPLY);
     this.watches = new HttpClient(settings.stateAddr, 3, MAX_REPLY);
     this.cloud = new HttpClient(settings.cloudAddr, 3, MAX_REPLY);
     this.peers = new Peers(
@@ -129,7 +132,8 @@
   // ---- outgoing
 
   private callState(tag: number, op: StateOp, timeoutMs: number): void {
-    const client = op.kind === 'watch' ? this.watches : this.state;
+    const forHold = op.kind === 'grant' || op.kind === 'extend' || op.kind === 'revoke';
+    const client = op.kind === 'watch' ? this.watches : forHold ? this.holds : this.state;
     client.call({ ...encodeStateOp(op), timeoutMs }, (r) => {
       const reply = decode<StateReply>(r, (status, json) => decodeStateReply(op, status, json));
       this.step({ kind: 'state', tag, reply });
