--- a/packages/lab/src/state.ts
+++ b/packages/lab/src/state.ts
@@ -38,6 +38,12 @@
    * that is served at once.
    */
   lateMs: ((node: string) => number | null) | null = null;
+  /** How long news takes to those that watch. */
+  watchLagMs = 0;
+  /** Which changes and renewals are carried out at once while their answer is lost. */
+  losesAnswer: ((node: string, op: StateOp) => boolean) | null = null;
+  /** How many were. */
+  answersLost = 0;
   /** Transactions carried out after newer ones of the same node. */
   lateAfterNewer = 0;
   private readonly newest = new Map<string, number>();
@@ -80,9 +86,12 @@
     this.served.push(op);
     if (op.kind === 'watch') return this.watch(node, op, reply);
     const r = this.execute(op);
-    if (op.kind === 'commit' && r.kind === 'committed' && op.puts.length > 0 && this.loseNextAnswer)
-      this.loseNextAnswer = false;
-    else reply(r);
+    const changed = op.kind === 'commit' && r.kind === 'committed' && op.puts.length > 0;
+    const once = changed && this.loseNextAnswer;
+    if (once) this.loseNextAnswer = false;
+    if (once || ((changed || op.kind === 'extend') && this.losesAnswer?.(node, op) === true)) {
+      this.answersLost++;
+    } else reply(r);
     this.wake();
   }
 
@@ -211,13 +220,15 @@
       // The newest are last, and most watches are up to date.
       let from = this.log.length;
       while (from > 0 && this.log[from - 1]!.revision > op.after) from--;
-      const news = this.log.slice(from).filter((l) => l.key.startsWith(op.prefix));
+      const fresh = this.log.slice(from).filter((l) => l.key.startsWith(op.prefix));
       // A node that is refused alone waits as in an outage.
-      if (this.down || this.refused.has(node) || (news.length === 0 && this.place.now < ends)) return false;
-      const last = new Map(news.map((l) => [l.key, l.item]));
+      if (this.down || this.refused.has(node) || (fresh.length === 0 && this.place.now < ends)) return false;
+      const last = new Map(fresh.map((l) => [l.key, l.item]));
       const puts = [...last.values()].filter((i): i is Item => i !== null);
       const drops = [...last].filter(([, i]) => i === null).map(([k]) => k);
-      reply({ kind: 'changes', revision: this.revision as Revision, puts, drops });
+      const news: StateReply = { kind: 'changes', revision: this.revision as Revision, puts, drops };
+      if (this.watchLagMs === 0) reply(news);
+      else this.place.after(this.watchLagMs, () => reply(news));
       return true;
     };
     if (!look()) this.watches.push(look);
--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -101,6 +101,8 @@
   private hanging = false;
   /** Answers that came while it hung; it reads them as it goes on. */
   private unread: (() => void)[] = [];
+  /** How often it hung, and went on with work on it within its lease. */
+  resumed = 0;
   /** Commands carried out long after the report that they answer. */
   lateCommands = 0;
 
@@ -190,6 +192,7 @@
     this.hanging = true;
     this.place.after(ms, () => {
       this.hanging = false;
+      if (!this.over && this.live().length > 0) this.resumed++;
       for (const read of this.unread.splice(0)) read();
       this.act();
     });
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -92,7 +92,9 @@
           term,
           this.catalogue,
           this.lookup,
+          this.leadership.lastRead,
           () => this.mayAdopt(term),
+          () => this.mayStart(),
           () => this.leadership.lose('a write found another owner'),
         );
         this.announce();
@@ -226,6 +228,15 @@
     return this.io.now < l.confirmedAt + HOLD_MS + cancelS * 1000 - leaseS * 1001 - 1500;
   }
 
+  /**
+   * Whether tasks may be started. Beyond its hold an owner that is out of the others' reach can't know whether one of
+   * them owns the share and has told a user that a job is cancelled; none of its tasks may be started from then on. One that
+   * hears them all would hear that as well, and goes on as in an outage.
+   */
+  private mayStart(): boolean {
+    return this.leadership.current || this.settings.peers.every((p) => this.fronts.hears(p.node));
+  }
+
   /** A job found on record may be taken up only while nobody else can have become the owner. */
   private mayAdopt(term: Revision): boolean {
     return this.leadership.term === term && this.leadership.current;
--- a/src/core/intake/admission.ts
+++ b/src/core/intake/admission.ts
@@ -1,7 +1,7 @@
 // Which jobs can never run, whatever happens: told to the user at once, with the reason.
 import type { TypeName, WallTime } from '../../types/index.ts';
 import type { JobSpec, MachineType, StateLimits, Team } from '../base/model.ts';
-import { canEverRun } from '../jobs/shape.ts';
+import { boundToOneZone, canEverRun } from '../jobs/shape.ts';
 import { recordPuts } from '../record/record.ts';
 
 export function impossible(
@@ -13,6 +13,8 @@
   if (team === undefined) return `team ${spec.team} is not known here`;
   if (!canEverRun(types.values(), spec))
     return `no machine type that the job allows is large enough for ${spec.cpus} CPUs, ${spec.gpus} GPUs and ${spec.memoryGb} GB`;
+  if (boundToOneZone(types.values(), spec))
+    return `at most half of the tasks may be in one zone, all must run at once, and there is only one zone for them`;
   const n = spec.kind === 'array' ? 1 : spec.tasks;
   if (team.cpusMax > 0 && spec.cpus * n > team.cpusMax)
     return `the job needs ${spec.cpus * n} CPUs at once and team ${spec.team} may use ${team.cpusMax}`;
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -65,6 +65,8 @@
   private next = 0;
   waiting = 0;
   unlocated = 0;
+  /** Accepted under an earlier term, and not every machine that may hold its tasks has been heard: see `dropEntry`. */
+  unsettled: boolean;
   queued = 0;
   /** Zones of its tasks on machines and in queues, with their number. */
   readonly zones = new Map<ZoneName, number>();
@@ -111,6 +113,7 @@
     this.priority = spec.priority;
     this.state = new Uint8Array(spec.tasks).fill(unlocated ? Task.Unlocated : Task.Waiting);
     this.done = new Uint8Array(Math.ceil(spec.tasks / 8));
+    this.unsettled = unlocated;
     if (unlocated) {
       this.unlocated = spec.tasks;
       this.next = spec.tasks;
@@ -180,8 +183,12 @@
     if (this.state[e.index] !== Task.Done) this.move(e.index, Task.Active);
   }
 
-  /** The task is free again only when its last entry goes. */
-  dropEntry(e: Entry): void {
+  /**
+   * The task is free again only when its last entry goes. One that was read from an old report, kept back until a new
+   * owner heard it, proves nothing when it goes: the task may have gone elsewhere long before, to a machine that this
+   * owner has not heard. `certain`: it was on that machine under this term.
+   */
+  dropEntry(e: Entry, certain: boolean): void {
     if (this.entries.get(e.index) !== e) {
       this.extra = this.extra.filter((x) => x !== e);
       return;
@@ -193,7 +200,16 @@
       return;
     }
     this.entries.delete(e.index);
-    if (this.state[e.index] === Task.Active) this.move(e.index, Task.Waiting);
+    if (this.state[e.index] === Task.Active)
+      this.move(e.index, this.unsettled && !certain ? Task.Unlocated : Task.Waiting);
+  }
+
+  /** Every machine that may hold its tasks has been heard: a task on none of them is on none at all. */
+  settle(): void {
+    if (!this.unsettled) return;
+    this.unsettled = false;
+    for (let i = 0; i < this.spec.tasks; i++)
+      if (this.state[i] === Task.Unlocated) this.move(i, Task.Waiting);
   }
 
   isDone(index: number): boolean {
--- a/src/core/jobs/jobs.ts
+++ b/src/core/jobs/jobs.ts
@@ -81,7 +81,9 @@
     const { id } = v.s;
     // Records of several values are made by owners only: this one is known, or is for the next owner to read.
     if ((v.x ?? 0) > 0) return;
-    if (this.open.has(id) || this.accepting.has(id) || this.finals.has(id)) return;
+    const known = this.open.get(id);
+    if (known !== undefined && v.c === 1) return this.marked(known, item);
+    if (known !== undefined || this.accepting.has(id) || this.finals.has(id)) return;
     const job = new Job(v.s, item.revision, v.t, this.io.now, false, this.waiting);
     job.cancelled = v.c === 1;
     this.open.set(id, job);
@@ -89,6 +91,28 @@
     this.opened(job);
   }
 
+  isAccepting(id: JobId): boolean {
+    return this.accepting.has(id);
+  }
+
+  /**
+   * The record says that the job is cancelled: by a copy of a mark that was given up as refused, carried out late. Whoever
+   * reads the record tells so.
+   */
+  private marked(job: Job, item: Item): void {
+    if (job.cancelled || job.writing) return;
+    job.revision = item.revision;
+    this.markCancelled(job);
+    this.runAfter(job);
+  }
+
+  private markCancelled(job: Job): void {
+    job.cancelled = true;
+    this.io.log('info', 'job cancelled', { job: job.id });
+    this.onEnded(job);
+    this.watcher?.spread(job);
+  }
+
   private opened(job: Job): void {
     this.watcher?.opened(job);
     if (!job.cancelled) this.onAccepted(job);
@@ -226,10 +250,7 @@
     // Written by a copy of an earlier try: compared with what is there from now on.
     else if (r.kind === 'conflict' && r.item !== null) job.revision = r.item.revision;
     if (marked) {
-      job.cancelled = true;
-      this.io.log('info', 'job cancelled', { job: job.id });
-      this.onEnded(job);
-      this.watcher?.spread(job);
+      this.markCancelled(job);
       answer({ kind: 'ended', id: job.id, status: 'cancelled' });
     } else {
       this.onWanted();
@@ -309,6 +330,7 @@
         // A copy of an earlier try went through: what it says is what users are told.
         const found = r.kind === 'conflict' ? (r.item?.value as FinalRecord | undefined) : undefined;
         if (found !== undefined) this.close(job, found.s, (found.t ?? value.t!) as WallTime);
+        else if (r.kind === 'conflict') this.reread(job);
         else this.runAfter(job);
       },
     };
@@ -316,6 +338,19 @@
     this.store.write(write);
   }
 
+  /** The job's record is not what it was taken to be: compared with the old one, no end would ever be written. */
+  private reread(job: Job): void {
+    job.writing = true;
+    this.io.state({ kind: 'get', key: OPEN + job.id }, Rank.owner, (r) => {
+      job.writing = false;
+      if (r.kind === 'item') {
+        job.revision = r.item.revision;
+        if ((r.item.value as StoredJob).c === 1) this.marked(job, r.item);
+      }
+      this.runAfter(job);
+    });
+  }
+
   private close(job: Job, status: 'done' | 'cancelled', at: WallTime): void {
     job.over = true;
     this.open.delete(job.id);
--- a/src/core/jobs/shape.ts
+++ b/src/core/jobs/shape.ts
@@ -27,3 +27,12 @@
 
 export const mayRunOnType = (t: MachineType, spec: JobSpec): boolean =>
   (spec.types === null || spec.types.includes(t.name)) && (spec.zone === null || t.zones.includes(spec.zone));
+
+/** A gang that must be spread, but whose tasks find a place in one zone only: all at once, they never can. */
+export const boundToOneZone = (types: Iterable<MachineType>, spec: JobSpec): boolean => {
+  if (!isGang(spec) || !spec.spread) return false;
+  if (spec.oneZone || spec.zone !== null) return true;
+  const zones = new Set<string>();
+  for (const t of types) if (typeFits(t, spec)) for (const z of t.zones) zones.add(z);
+  return zones.size < 2;
+};
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -350,7 +350,8 @@
     if (!m.entries.delete(key)) return;
     m.plain = false;
     e.gone = true;
-    job.dropEntry(e);
+    // Heard under this term, the machine had listed it, or was sent it, since nobody else could give it away.
+    job.dropEntry(e, m.synced);
     if (e.runningAt !== null) job.running--;
     this.countUsed(m, job, -1);
     this.rooms.update(m);
--- a/src/core/membership/leadership.ts
+++ b/src/core/membership/leadership.ts
@@ -4,7 +4,7 @@
 import type { Outbox } from '../base/io.ts';
 import type { Item, StateReply } from '../base/model.ts';
 import { Rank } from '../base/statebudget.ts';
-import { OWNER_KEY } from '../record/keys.ts';
+import { OWNER_KEY, READ_KEY, type ReadRecord } from '../record/keys.ts';
 
 /**
  * A worker whose report an owner leaves unanswered waits for 4 s; the next owner is to be there by then, or it goes round by
@@ -43,6 +43,8 @@
   holdEnds: Instant = LONG_AGO;
   /** When the last request that the state service is known to have served was sent. */
   confirmedAt: Instant = LONG_AGO;
+  /** The last owner known to have read all records. */
+  lastRead: ReadRecord | null = null;
   private hold: HoldId | null = null;
   private busy = false;
   private nextExtend: Instant = LONG_AGO;
@@ -143,6 +145,7 @@
       return;
     }
     this.watchFrom = r.revision;
+    this.noteRead(r.items);
     const found = r.items.find((i) => i.key === OWNER_KEY);
     if (found !== undefined) this.see(found);
     else this.vanish(r.revision);
@@ -159,6 +162,7 @@
       return;
     }
     this.watchFrom = r.revision;
+    this.noteRead(r.puts);
     const put = r.puts.filter((i) => i.key === OWNER_KEY).at(-1);
     const dropped = r.drops.includes(OWNER_KEY);
     if (put !== undefined) this.see(put);
@@ -168,6 +172,11 @@
     this.watch();
   }
 
+  private noteRead(items: Item[]): void {
+    const found = items.find((i) => i.key === READ_KEY);
+    if (found !== undefined) this.lastRead = found.value as ReadRecord;
+  }
+
   private see(item: Item): void {
     const node = (item.value as { node?: NodeId }).node;
     if (node === undefined) return;
--- a/src/core/reports/fronts.ts
+++ b/src/core/reports/fronts.ts
@@ -194,6 +194,11 @@
     return this.silentMs(node) >= SILENT_MS;
   }
 
+  /** Whether the node has said something within the last seconds. */
+  hears(node: NodeId): boolean {
+    return this.silentMs(node) < ALIVE_MS;
+  }
+
   private silentMs(node: NodeId): number {
     return since(this.io.now, this.heardAt.get(node) ?? LONG_AGO);
   }
--- a/src/core/share/recovery.ts
+++ b/src/core/share/recovery.ts
@@ -11,7 +11,6 @@
 import type { Outbox } from '../base/io.ts';
 import type { Item, MachineType, Settings, StateReply } from '../base/model.ts';
 import { Rank } from '../base/statebudget.ts';
-import { type Job, Task } from '../jobs/job.ts';
 import type { Jobs } from '../jobs/jobs.ts';
 import { BITS, type Progress } from '../jobs/progress.ts';
 import { type Catalogue, TYPE } from '../machines/catalogue.ts';
@@ -39,6 +38,8 @@
   /** What was on record later than this has not been read. */
   jobsReadAt = 0 as Revision;
   onComplete: () => void = () => {};
+  /** All records have been read. */
+  onLoaded: () => void = () => {};
   /** All jobs on record are known. */
   onJobs: () => void = () => {};
   private step: 'types' | 'jobs' | 'more' | 'bits' | 'machines' = 'types';
@@ -169,6 +170,10 @@
     this.loaded = true;
     this.loadedAt = this.io.now;
     this.busy = false;
+    // Machines on the first of many pages may have been answered while the last was waited for.
+    const leaseEnds = later(this.io.now, this.settings.workers.leaseS * 1001 + 500);
+    for (const m of this.machines.all.values()) m.leaseEnds = Math.max(m.leaseEnds, leaseEnds) as Instant;
+    this.onLoaded();
     this.io.log('info', 'state read', { jobs: this.jobs.open.size, machines: this.machines.all.size });
   }
 
@@ -213,6 +218,8 @@
       // Once the machine is in use, only its own reports tell what is not on it: a start that answered
       // one of them may still be under way when this reply is made.
       if (r.kind !== 'report' || this.machines.all.get(m.id) !== m || m.synced) return;
+      // Its address may be another machine's by now.
+      if (r.report.machine !== m.id) return;
       const known = m.session;
       this.machines.report(m, r.report, true);
       // The session was another: ask again at once with the right one.
@@ -222,7 +229,7 @@
 
   private finish(): void {
     this.complete = true;
-    for (const job of this.jobs.open.values()) settle(job);
+    for (const job of this.jobs.open.values()) job.settle();
     this.onComplete();
     this.io.log('info', 'all machines heard', {
       machines: this.machines.all.size,
@@ -243,8 +250,3 @@
   bootS: 1,
   zones: [],
 });
-
-/** With every machine heard, a task on none of them is on none at all. */
-function settle(job: Job): void {
-  for (let i = 0; i < job.spec.tasks; i++) if (job.state[i] === Task.Unlocated) job.move(i, Task.Waiting);
-}
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -1,5 +1,13 @@
 // What the owner of the share does during one term. A new term starts with a new one of these.
-import { type Instant, LONG_AGO, later, type MachineId, NEVER, type Revision } from '../../types/index.ts';
+import {
+  type Instant,
+  LONG_AGO,
+  later,
+  type MachineId,
+  NEVER,
+  type Revision,
+  type Token,
+} from '../../types/index.ts';
 import { retry } from '../base/answers.ts';
 import type { Outbox } from '../base/io.ts';
 import type {
@@ -35,8 +43,9 @@
 import { Ranking } from '../placement/ranking.ts';
 import { Shares } from '../placement/shares.ts';
 import { Yields } from '../placement/yields.ts';
+import { READ_KEY, type ReadRecord } from '../record/keys.ts';
 import type { Lookup } from '../record/lookup.ts';
-import { Store } from '../record/store.ts';
+import { Priorities, Store } from '../record/store.ts';
 import { apply } from '../reports/listing.ts';
 import { Parking } from '../reports/parking.ts';
 import { Accounts } from '../teams/accounts.ts';
@@ -62,6 +71,8 @@
 const EARLY_MS = 3300;
 /** A report is sent this long before it is read, at the most: later its worker drops the answer. */
 const LATE_REPORT_MS = 4500;
+/** Two nodes' times of day are never this far apart: they keep within some tens of milliseconds of true time. */
+const WALLS_APART_MS = 1000;
 /** Twice what steady clocks drift apart. */
 const DRIFT = 1.001;
 /** A report that had to wait for the records is answered this soon after it has been read. */
@@ -124,7 +135,10 @@
     term: Revision,
     catalogue: Catalogue,
     private readonly lookup: Lookup,
+    /** The last owner before this one that had read all records. */
+    private readonly lastRead: ReadRecord | null,
     current: () => boolean,
+    private readonly mayStart: () => boolean,
     onLost: () => void,
   ) {
     this.current = current;
@@ -200,6 +214,7 @@
     this.needs = new Needs(io, settings, this.jobs, this.estimates);
     this.jobs.watcher = this.needs;
     this.recovery.onJobs = () => this.needs.loaded();
+    this.recovery.onLoaded = () => this.noteRead(term);
     // To the machines a job comes when it may start, not when it is accepted.
     this.jobs.onAccepted = (job) => {
       if (!job.blocked) this.needs.onReady(job);
@@ -289,7 +304,8 @@
     if (!this.recovery.loaded) {
       // Raising the token is all that may be done before the records are read. A report made after that waits for
       // them: answered unread, its machine would be heard a whole report period later.
-      if (r.token !== token && this.mayRaise(r.machine)) answer({ kind: 'orders', token, commands: [] });
+      if (r.token !== token && this.mayRaise(r.machine, r.token))
+        answer({ kind: 'orders', token, commands: [] });
       else this.early.add(r, answer, by);
       return;
     }
@@ -326,7 +342,7 @@
     if (f.whole !== null) return this.report(f.whole, answer);
     if (!this.recovery.loaded)
       return answer(
-        f.token !== this.machines.token && this.mayRaise(f.machine)
+        f.token !== this.machines.token && this.mayRaise(f.machine, f.token)
           ? { kind: 'orders', token: this.machines.token, commands: [] }
           : { kind: 'whole' },
       );
@@ -352,23 +368,41 @@
     const { token } = this.machines;
     for (const e of this.early.overdue())
       e.answer(
-        this.mayRaise(e.report.machine)
+        this.mayRaise(e.report.machine, e.report.token)
           ? { kind: 'orders', token, commands: [] }
           : { kind: 'elsewhere', node: null },
       );
   }
 
+  /** From now on this owner's answers stop what is cancelled: the next one may build on them; see `mayRaise`. */
+  private noteRead(term: Revision): void {
+    const nonce = this.store.nonce();
+    // The same value whichever copy is carried out, under this term only.
+    this.store.write({
+      conditions: [],
+      puts: [{ key: READ_KEY, value: { term, at: this.io.wall, w: nonce } }],
+      drops: [],
+      check: READ_KEY,
+      nonce,
+      priority: Priorities.roster,
+      done: () => {},
+    });
+  }
+
   /**
    * Whether a machine may be answered, and its lease renewed, before the records are read. What an earlier owner told a
-   * user is cancelled may run there, and this owner does not know it yet. The machine lived on its last answer without a
-   * stop when it was first heard, so that was given a lease ago at the most, and the user was told no sooner. An answer
-   * now adds a lease: all must be gone within `cancel_s` of what may have been told, however long the records can't be
-   * read (docs/safety.md, point 15).
+   * user is cancelled may run there, and this owner does not know it yet. Only if the last answer that the machine took
+   * came from an owner that knew: then what was cancelled later was told later, and the machine, first heard within a
+   * lease of that answer, may be given leases until all must be gone within `cancel_s` of what may have been told. It came
+   * from one that knew if the machine has seen no later token, and that owner read the records more than a lease ago: an
+   * answer from before that is over (docs/safety.md, point 15).
    */
-  private mayRaise(id: MachineId): boolean {
+  private mayRaise(id: MachineId, seen: Token): boolean {
     const first = this.raised.get(id);
     if (first !== undefined) return this.io.now <= first + this.unreadMs - LATE_REPORT_MS;
-    if (this.unreadMs < 0) return false;
+    if (this.unreadMs < 0 || this.lastRead === null || seen !== (this.lastRead.term as number)) return false;
+    const leaseMs = this.settings.workers.leaseS * 1000 * DRIFT;
+    if (this.io.wall - this.lastRead.at <= leaseMs + WALLS_APART_MS) return false;
     this.raised.set(id, this.io.now);
     return true;
   }
@@ -376,7 +410,7 @@
   /** Answers a held report that has something to tell, or whose time is up. */
   private answerHeld(h: Held): void {
     const { m } = h;
-    h.commands.push(...this.machines.startQueued(m, () => true));
+    h.commands.push(...this.machines.startQueued(m, this.mayStart));
     if (this.io.now < h.until && (this.awaitsPass(h) || this.awaitsWork(h))) return;
     this.held.delete(m.id);
     this.machines.answered(m);
@@ -438,6 +472,8 @@
   private adopt(r: Report): Machine | null {
     const type = this.fleet.types.get(r.type);
     if (type === undefined || this.machines.buried.has(r.machine)) return null;
+    // Out of the others' reach nothing is started: the machine may serve whoever owns the share by now.
+    if (!this.mayStart()) return null;
     this.io.log('info', 'machine adopted from its report', { machine: r.machine });
     return this.machines.newMachine(r.machine, type, r.zone, r.spot, NEVER);
   }
@@ -465,6 +501,7 @@
       const afterS = this.door.afterS(spec.team, 1 + this.backlogS / 2);
       return answer(retry('too many submissions at once', spread(this.io, afterS), true));
     }
+    if (this.jobs.isAccepting(spec.id)) return this.jobs.accept(spec, answer);
     const reason = impossible(spec, this.catalogue.types, this.settings.teams);
     if (reason !== null) return this.refuse(spec, { kind: 'impossible', reason }, answer);
     const large = tooLarge(spec, this.settings.state);
@@ -484,14 +521,17 @@
     else answer(known);
   }
 
-  /** A job known from before is never called impossible, whatever is offered today. */
+  /**
+   * A job known from before is never called impossible, whatever is offered today or said of it in the repetition; nor is one
+   * that another node took in a moment ago.
+   */
   private refuse(
     spec: JobSpec,
     refusal: Extract<UserAnswer, { kind: 'impossible' | 'too-large' }>,
     answer: (a: UserAnswer) => void,
   ): void {
-    this.jobs.readFinal(spec.id, (a) => {
-      if (a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
+    this.lookup.ask(spec.id, (a) => {
+      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
       else if (a.kind === 'not-found') {
         this.io.log('info', 'job refused', { job: spec.id, reason: refusal.reason });
         answer(refusal);
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -210,12 +210,12 @@
   const [first, second] = [entry('i-1'), entry('i-2')];
   j.addEntry(first);
   j.addEntry(second);
-  j.dropEntry(second);
+  j.dropEntry(second, true);
   assert.equal(j.entries.get(0), first);
   j.addEntry(second);
-  j.dropEntry(first);
+  j.dropEntry(first, true);
   assert.equal(j.waiting, 0);
-  j.dropEntry(second);
+  j.dropEntry(second, true);
   assert.equal(j.waiting, 1);
 });
 
--- a/test/support/rules.ts
+++ b/test/support/rules.ts
@@ -14,8 +14,19 @@
   task: string;
   machine: Place;
 }
+/** What a machine has free; of those that are there, reach controllers and can run what they are given. */
+export interface Room {
+  machine: Place;
+  cpus: number;
+  gpus: number;
+  memoryGb: number;
+}
 export interface Limits {
   cancelMs: number;
+  /** Why a job can never run, or what it lacks; null if it can. */
+  unfit?: (spec: JobSpec) => string | null;
+  /** Machines with room, to judge whether work waits in vain; without it that is not judged. */
+  rooms?: () => Iterable<Room>;
   /** CPUs that a team's tasks may use at any time; a team that is missing may use any number. */
   cpusMax: ReadonlyMap<string, number>;
 }
@@ -23,7 +34,14 @@
 /** Once troubles are over, a job that is asked about is answered for within this. */
 export const FORGOTTEN_MS = 75_000;
 
+/** Once troubles are over, nothing is left waiting for this long while a machine has room for it. */
+export const NEEDLESS_MS = 90_000;
+/** Workers drop answers after this: a start on its way when a cancellation is confirmed may still come. */
+const ON_ITS_WAY_MS = 4100;
+
 interface Seen {
+  /** Since when a task of it waits though there is room. */
+  roomSince: number | null;
   spec: JobSpec;
   accepted: boolean;
   cancelAsked: boolean;
@@ -40,6 +58,10 @@
   started = 0;
   /** Once troubles were over: the longest time for which a job that is asked about went unanswered, in milliseconds. */
   longestSilenceMs = 0;
+  /** Once troubles were over: the longest time for which a task waited though a machine had room for it. */
+  longestNeedlessMs = 0;
+  /** The latest start of a cancelled job after its user was told, in milliseconds. */
+  latestStartMs = 0;
   private readonly jobs = new Map<string, Seen>();
   private readonly results = new Set<string>();
   private readonly toldForgotten = new Set<string>();
@@ -60,6 +82,7 @@
       if (!this.jobs.has(r.spec.id))
         this.jobs.set(r.spec.id, {
           spec: r.spec,
+          roomSince: null,
           accepted: false,
           cancelAsked: false,
           final: null,
@@ -89,6 +112,10 @@
     }
     j.lastAnswer = now;
     const status = a.kind === 'accepted' ? 'queued' : a.status;
+    if (!j.accepted) {
+      const why = this.limits.unfit?.(j.spec) ?? null;
+      if (why !== null) this.fault(now, 'accepted_unfit', `${id}: ${why}`);
+    }
     if (j.final !== null && status !== j.final.status && sentAt >= j.final.at)
       this.fault(now, 'went_back', `${id} told ${status} after ${j.final.status}`);
     j.accepted = true;
@@ -126,7 +153,14 @@
     const on = [...this.onMachines()];
     const twin = on.find((o) => o.task === task);
     if (twin !== undefined) this.fault(now, 'ran_twice', `${task} on ${m.id} and ${twin.machine.id}`);
+    if (j.final?.status === 'cancelled') this.latestStartMs = Math.max(this.latestStartMs, now - j.final.at);
     if (this.lateFor(j, now)) this.fault(now, 'ran_cancelled', `${task} started on ${m.id}`);
+    else if (j.final?.status === 'cancelled' && now > j.final.at + ON_ITS_WAY_MS)
+      this.fault(
+        now,
+        'started_cancelled',
+        `${task} on ${m.id}, ${now - j.final.at} ms after its user was told`,
+      );
     if ((spec.types !== null && !(spec.types as string[]).includes(m.type)) || (m.spot && !spec.spot))
       this.fault(now, 'wrong_place', `${task} on ${m.type}`);
     if (spec.zone !== null && spec.zone !== m.zone) this.fault(now, 'wrong_place', `${task} in ${m.zone}`);
@@ -165,6 +199,7 @@
       this.latestGoneMs = Math.max(this.latestGoneMs, now - j.final.at);
       if (this.lateFor(j, now)) this.fault(now, 'ran_cancelled', `${task} on ${machine.id}`);
     }
+    this.judgeWaits(now);
     for (const [id, j] of this.jobs) {
       if (!j.accepted || this.toldForgotten.has(id)) continue;
       const silentSince = Math.max(j.lastAnswer, this.overSince);
@@ -176,6 +211,74 @@
     }
   }
 
+  /** Work that waits though a machine that is allowed and has room is there and its team may use it. */
+  private judgeWaits(now: number): void {
+    if (this.limits.rooms === undefined || now < this.overSince) return;
+    const rooms = [...this.limits.rooms()];
+    const on = [...this.onMachines()].map((o) => ({
+      ...splitTask(o.task as TaskId),
+      task: o.task,
+      machine: o.machine,
+    }));
+    for (const [id, j] of this.jobs) {
+      if (!j.accepted || j.final !== null || j.cancelAsked || !this.startable(j, rooms, on)) {
+        j.roomSince = null;
+        continue;
+      }
+      j.roomSince ??= now;
+      const ms = now - j.roomSince;
+      if (ms > this.longestNeedlessMs) this.longestNeedlessMs = ms;
+      if (ms <= NEEDLESS_MS || this.toldWaiting.has(id)) continue;
+      this.toldWaiting.add(id);
+      this.fault(now, 'left_waiting', `${id} for ${ms} ms though there is room`);
+    }
+  }
+
+  private readonly toldWaiting = new Set<string>();
+
+  /** A task of an array or service, or all that is missing of a gang, could be started now by all that users can know. */
+  private startable(j: Seen, rooms: Room[], on: { job: string; task: string; machine: Place }[]): boolean {
+    const { spec } = j;
+    for (const need of spec.awaits ?? []) if (this.jobs.get(need)?.final?.status !== 'done') return false;
+    const there = on.filter((o) => o.job === spec.id);
+    const placed = new Set(there.map((o) => o.task));
+    let missing = 0;
+    for (let i = 0; i < spec.tasks; i++)
+      if (!placed.has(`${spec.id}/${i}`) && !this.results.has(`${spec.id}/${i}`)) missing++;
+    if (missing === 0) return false;
+    const gang = spec.kind === 'gang';
+    // Part of it runs: the rest comes with the next attempt, when these have ended.
+    if (gang && there.length > 0) return false;
+    const n = gang ? missing : 1;
+    const max = this.limits.cpusMax.get(spec.team);
+    if (max !== undefined) {
+      let used = spec.cpus * n;
+      for (const o of on) {
+        const other = this.jobs.get(o.job)?.spec;
+        if (other?.team === spec.team) used += other.cpus;
+      }
+      if (used > max) return false;
+    }
+    const zones = new Map<string, number>();
+    for (const o of there) zones.set(o.machine.zone, (zones.get(o.machine.zone) ?? 0) + 1);
+    const slots = new Map<string, number>();
+    for (const r of rooms) {
+      const m = r.machine;
+      if (spec.types !== null && !(spec.types as string[]).includes(m.type)) continue;
+      if ((m.spot && !spec.spot) || (spec.zone !== null && spec.zone !== m.zone)) continue;
+      if (spec.oneZone && zones.size > 0 && !zones.has(m.zone)) continue;
+      const per = (free: number, each: number) => (each <= 0 ? spec.tasks : Math.floor((free + 1e-9) / each));
+      const fit = Math.min(per(r.cpus, spec.cpus), per(r.gpus, spec.gpus), per(r.memoryGb, spec.memoryGb));
+      slots.set(m.zone, (slots.get(m.zone) ?? 0) + Math.max(0, fit));
+    }
+    let total = 0;
+    for (const [zone, fit] of slots) {
+      const most = spec.spread ? Math.max(0, Math.ceil(spec.tasks / 2) - (zones.get(zone) ?? 0)) : fit;
+      total = spec.oneZone ? Math.max(total, Math.min(fit, most)) : total + Math.min(fit, most);
+    }
+    return total >= n;
+  }
+
   /** At the end of a day: accepted jobs that were neither done nor cancelled, services aside. */
   unfinished(): string[] {
     return [...this.jobs]
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -113,12 +113,23 @@
   private readonly frozen = new Map<string, Input[]>();
   /** Machines whose reports arrive, while answers and direct commands to them are lost. */
   readonly deaf = new Set<string>();
+  /** Machines that reach no controller, while direct commands reach them. */
+  readonly mute = new Set<string>();
+  /** Which reports are kept, to arrive once more at every controller as soon as another one owns the share. */
+  keepReport: (() => boolean) | null = null;
+  private keptReports: Report[] = [];
+  /** Kept reports that were older than what their machine had said since, as they arrived. */
+  keptDelivered = 0;
+  /** Milliseconds from the beginning of a term until what was kept arrives. */
+  keptMs = 150;
   /** Machines to which everything is held up for so long. */
   readonly heldUpMs = new Map<string, number>();
   /** Of which reports a copy arrives once more: milliseconds later, or null for none. */
   copyMs: (() => number | null) | null = null;
   /** Copies that arrived after a newer report of the machine. */
   oldCopies = 0;
+  /** When tasks that run end by themselves. */
+  readonly endsAt = new Map<string, number>();
   /** How long the tasks of a job run, if not `runS`. */
   readonly runOf = new Map<string, number>();
   /** Hears of what happens, to judge it by the users' rules; see rules.ts. */
@@ -145,6 +156,10 @@
   constructor(over: Partial<Settings> = {}, names: string[] = ['node-0', 'node-1', 'node-2']) {
     this.over = over;
     if (names.length > this.nodeNames.length) this.nodeNames = names;
+    this.state.onChange = (c) => {
+      if ('key' in c && c.key === 'share/0' && c.kept !== null)
+        this.after(this.keptMs, () => this.deliverKept());
+    };
     for (const name of names) this.start(name);
   }
 
@@ -407,6 +422,8 @@
     timeoutMs: number,
     done: (a: WorkerAnswer | null) => void,
   ): void {
+    if (this.mute.has(worker.id)) return this.after(timeoutMs, () => done(null));
+    if (this.keepReport?.() === true) this.keptReports.push(structuredClone(report));
     const copyMs = this.copyMs?.() ?? null;
     // What is sent shares no memory with the sender, nor with what has been read of it.
     const copy = (): Input & { kind: 'report' } => ({
@@ -417,12 +434,7 @@
     if (copyMs !== null)
       this.after(copyMs, () => {
         if (worker.session > report.session || worker.seq > report.seq) this.oldCopies++;
-        if (this.nodes.has(node))
-          this.request(
-            node,
-            (req) => ({ ...copy(), req }),
-            () => {},
-          );
+        this.deliver(node, report);
       });
     this.call<WorkerAnswer>(
       worker.id,
@@ -440,6 +452,23 @@
       done,
     );
   }
+  /** A copy of a report reaches a node; nobody waits for the answer. */
+  deliver(node: string, report: Report): void {
+    if (!this.nodes.has(node)) return;
+    this.request(
+      node,
+      (req) => ({ kind: 'report', req, report: structuredClone(report) }),
+      () => {},
+    );
+  }
+  private deliverKept(): void {
+    for (const report of this.keptReports.splice(0)) {
+      const worker = this.workers.get(report.machine);
+      if (worker === undefined || worker.session > report.session || worker.seq > report.seq)
+        this.keptDelivered++;
+      for (const node of [...this.nodes.keys()]) this.deliver(node, report);
+    }
+  }
   launch(
     _worker: FakeWorker,
     task: TaskId,
@@ -455,7 +484,10 @@
       ended('done');
     };
     if (spec?.kind === 'gang') return this.join(spec, task, attempt, runMs, { done, exit: ended, is });
-    if (spec?.kind !== 'service') this.after(runMs, done);
+    if (spec?.kind !== 'service') {
+      this.endsAt.set(task, this.now + runMs);
+      this.after(runMs, done);
+    }
     return { stop: (_graceS, over) => over(false), kill: () => {} };
   }
 
