--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -79,6 +79,8 @@
   seq = 0;
   token = 0;
   up = false;
+  /** When it came up, in milliseconds. */
+  upSince = Number.NEGATIVE_INFINITY;
   dead = false;
   noticeS: number | null = null;
   /** Every task started here fails at once. */
@@ -143,6 +145,7 @@
   boot(): void {
     if (this.dead) return;
     this.up = true;
+    this.upSince = this.place.now;
     this.leaseFrom = this.place.now;
     this.act();
   }
--- a/scripts/drill/meetings.ts
+++ b/scripts/drill/meetings.ts
@@ -43,11 +43,15 @@
   let broken = 0;
   let latest = 0;
   let silence = 0;
+  let needless = 0;
+  let started = 0;
   const one = (h: History): string[] => {
     const v = playHistory(h, o.log ? (lines) => process.stdout.write(`${lines.join('\n')}\n`) : undefined);
     for (const m of MEETINGS) met[m]! += v.met[m];
     latest = Math.max(latest, v.latestGoneMs);
     silence = Math.max(silence, v.longestSilenceMs);
+    needless = Math.max(needless, v.longestNeedlessMs);
+    started = Math.max(started, v.latestStartMs);
     played++;
     if (!v.played) notPlayed++;
     return v.broken;
@@ -70,6 +74,10 @@
   for (const m of MEETINGS) process.stdout.write(`met ${m}: ${met[m]}\n`);
   process.stdout.write(`latest gone ${(latest / 1000).toFixed(1)} s after the confirmation, of 40 s\n`);
   process.stdout.write(`longest silence ${(silence / 1000).toFixed(1)} s after the last trouble, of 75 s\n`);
+  process.stdout.write(`longest needless wait ${(needless / 1000).toFixed(1)} s, of 90 s\n`);
+  process.stdout.write(
+    `latest start of a cancelled job ${(started / 1000).toFixed(1)} s after the confirmation, of 4.1 s\n`,
+  );
   const sum = Object.values(met).reduce((a, b) => a + b, 0);
   process.stdout.write(
     `meetings: histories=${played} met=${sum} rules_broken=${broken} not_played=${notPlayed}\n`,
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -54,7 +54,7 @@
   private readonly settings: Settings;
   readonly leadership: Leadership;
   share: Share | null = null;
-  private readonly lookup: Lookup;
+  readonly lookup: Lookup;
   private readonly catalogue: Catalogue;
   private readonly relay: Relay;
   private readonly fronts: Fronts;
--- a/src/core/fleet/fleet.ts
+++ b/src/core/fleet/fleet.ts
@@ -194,6 +194,9 @@
       const n = Math.min(job.waiting + job.queued, this.teamRoom(job, planned));
       if (isGang(job.spec)) this.provideGang(job, n, free, need);
       else if (job.spec.spread && job.spec.tasks > 1) this.provideSpread(job, n, free, need);
+      // Room in another zone than that of its other tasks is none for it.
+      else if (job.spec.oneZone && job.spec.tasks > 1)
+        this.provideInOneZone(job, n, this.zonesFor(job), free, need);
       else this.provide(job, n, null, free, need);
     }
     for (const spare of this.warm.spares((job) => readyTimeS(this.types.values(), job.spec)))
--- a/src/core/record/lookup.ts
+++ b/src/core/record/lookup.ts
@@ -33,6 +33,11 @@
     this.budget = new Budget(rate, rate);
   }
 
+  /** Questions that wait to be read. */
+  get backlog(): number {
+    return this.waiting.length;
+  }
+
   /** A final state is final: any node may answer it from memory. */
   known(id: JobId): UserAnswer | null {
     const status = this.ended.get(id);
--- a/test/support/world.ts
+++ b/test/support/world.ts
@@ -134,6 +134,8 @@
   readonly runOf = new Map<string, number>();
   /** Hears of what happens, to judge it by the users' rules; see rules.ts. */
   rules: Rules | null = null;
+  /** Hears of every task that ends by itself. */
+  onEnd: ((task: TaskId) => void) | null = null;
   /** Hears of every answer to a user. */
   onTold: ((a: UserAnswer) => void) | null = null;
   private readonly gangs = new Map<string, Map<string, Member>>();
@@ -481,6 +483,7 @@
     const runMs = (this.runOf.get(job) ?? this.runS) * 1000;
     const done = () => {
       this.rules?.completed(task);
+      this.onEnd?.(task);
       ended('done');
     };
     if (spec?.kind === 'gang') return this.join(spec, task, attempt, runMs, { done, exit: ended, is });
--- a/test/takeovers.test.ts
+++ b/test/takeovers.test.ts
@@ -521,3 +521,32 @@
   assert.ok(w.until(() => j.rules.unfinished().length === 0, 300));
   j.sound();
 });
+
+test('an array bound to one zone gets its room there, though machines of another zone have some', () => {
+  const w = new World();
+  const j = judge(w);
+  w.runS = 200;
+  // One machine in each zone, with room for two tasks in the first and four in the second.
+  for (const [k, zone, cpus] of [
+    [1, 'south', 4],
+    [2, 'north', 2],
+  ] as const) {
+    assert.equal(w.submit(job(`run-${k}`, { cpus, zone: zone as ZoneName }))?.kind, 'accepted');
+    assert.ok(w.until(() => w.holders(`run-${k}`).length > 0));
+  }
+  const bound = { tasks: 4, cpus: 2, oneZone: true };
+  assert.equal(w.submit(job('run-3', bound))?.kind, 'accepted');
+  const at = (id: string): number =>
+    [...w.workers.values()].flatMap((m) => m.live()).filter((t) => t.job === id).length;
+  assert.ok(
+    w.until(() => at('run-3') === 4, 20),
+    `${at('run-3')} of 4`,
+  );
+  // A second one finds its zone half full, and the machine of the other zone has room.
+  assert.equal(w.submit(job('run-4', { tasks: 5, cpus: 3, oneZone: true }))?.kind, 'accepted');
+  assert.ok(
+    w.until(() => at('run-4') === 5, 25),
+    `${at('run-4')} of 5`,
+  );
+  j.sound();
+});
