--- a/test/takeovers.test.ts
+++ b/test/takeovers.test.ts
@@ -550,3 +550,71 @@
   );
   j.sound();
 });
+
+test('what machines that a new leader has not heard may hold counts against a job accepted under its own term', () => {
+  const w = new World();
+  const j = judge(w);
+  w.runS = 500;
+  const small = { team: 'small' as TeamName };
+  assert.equal(w.submit(job(id, { ...small, tasks: 3, zone: 'north' as ZoneName }))?.kind, 'accepted');
+  // A machine with room that the next leader hears at once.
+  assert.equal(w.submit(job('run-2', { zone: 'south' as ZoneName }))?.kind, 'accepted');
+  assert.ok(w.until(() => w.holders(id).length > 0 && w.holders('run-2').length > 0));
+  w.run(3);
+  const leader = w.owner!;
+  const follow = w.holders(id);
+  // They follow the leader, which is cut off, and live on; nobody can return them.
+  w.cloud.down = true;
+  for (const m of follow) cutLeader(w, leader, m);
+  assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 12));
+  const next = w.owner!;
+  assert.equal(w.insist({ op: 'submit', spec: job('run-3', small) }, next, 5)?.kind, 'accepted');
+  for (let i = 0; i < 30 && w.holders(id).length > 0; i++) {
+    assert.deepEqual(w.holders('run-3'), []);
+    w.run(0.2);
+  }
+  // Its team has room again once nothing can be left of them.
+  assert.ok(
+    w.until(() => w.holders('run-3').length > 0, 60),
+    'started in the end',
+  );
+  j.sound();
+});
+
+test('of an array bound to one zone nothing starts elsewhere while a task of it may be on a machine that was not heard', () => {
+  const w = new World();
+  w.spread = false;
+  const j = judge(w);
+  w.runS = 500;
+  assert.equal(w.submit(job(id, { tasks: 2, cpus: 5, oneZone: true }))?.kind, 'accepted');
+  assert.ok(w.until(() => w.holders(id).length === 2));
+  const [first, second] = w.holders(id).map((m) => w.workers.get(m)!);
+  const elsewhere = (first!.zone === 'north' ? 'south' : 'north') as ZoneName;
+  assert.equal(w.submit(job('run-2', { zone: elsewhere }))?.kind, 'accepted');
+  assert.ok(w.until(() => w.holders('run-2').length > 0));
+  w.run(3);
+  const leader = w.owner!;
+  w.cloud.down = true;
+  cutLeader(w, leader, second!.id);
+  for (const m of w.workers.keys()) if (m !== second!.id) w.cut(m, leader, 'drop');
+  assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 12));
+  const term = w.state.keys.get('share/0')!.revision;
+  assert.ok(
+    w.until(() => first!.token === term, 15),
+    'heard by the next leader',
+  );
+  w.run(1);
+  // Its task ends there without a result, and the machine is to be used no more; the other zone has room.
+  const [t] = first!.live();
+  first!.noticeS = 60;
+  first!.orders(
+    term,
+    first!.session,
+    [{ op: 'stop', task: t!.task, attempt: t!.attempt as never, graceS: 0 }],
+    () => {},
+  );
+  w.run(5);
+  assert.ok(w.holders(id).includes(second!.id), 'the other task goes on');
+  assert.deepEqual(w.holders(id), [second!.id]);
+  j.sound();
+});
