Clean-up: one lease formula, one set of rules for a world, twins in tests made one

A lease from now is computed in one place (Machines.leaseFromNow) and, at a take-over, once, when all records are read, instead of for each page as well. In tests: rulesOf and cutLeader shared, the search's repeated requests by one loop, an unused counter gone.

--- a/packages/lab/src/worker.ts
+++ b/packages/lab/src/worker.ts
@@ -103,8 +103,6 @@
   private hanging = false;
   /** Answers that came while it hung; it reads them as it goes on. */
   private unread: (() => void)[] = [];
-  /** How often it hung, and went on with work on it within its lease. */
-  resumed = 0;
   /** Commands carried out long after the report that they answer. */
   lateCommands = 0;
 
@@ -195,7 +193,6 @@
     this.hanging = true;
     this.place.after(ms, () => {
       this.hanging = false;
-      if (!this.over && this.live().length > 0) this.resumed++;
       for (const read of this.unread.splice(0)) read();
       this.act();
     });
--- a/src/core/machines/machines.ts
+++ b/src/core/machines/machines.ts
@@ -152,9 +152,14 @@
     return this.commands(m);
   }
 
+  /** When everything on a machine that is answered now is gone for certain, unless it is answered again. */
+  get leaseFromNow(): Instant {
+    return later(this.io.now, this.settings.workers.leaseS * 1000 * (1 + DRIFT) + MARGIN_MS);
+  }
+
   /** The worker is answered with this node's token: its lease runs from this report at the latest. */
   answered(m: Machine): void {
-    m.leaseEnds = later(this.io.now, this.settings.workers.leaseS * 1000 * (1 + DRIFT) + MARGIN_MS);
+    m.leaseEnds = this.leaseFromNow;
   }
 
   private newSession(m: Machine, r: Report): void {
--- a/src/core/record/lookup.ts
+++ b/src/core/record/lookup.ts
@@ -1,6 +1,6 @@
 // Jobs this node does not hold: read from the state service, many names in one compare-only transaction.
 import type { JobId, Revision } from '../../types/index.ts';
-import { retry } from '../base/answers.ts';
+import { retry, toSubmission } from '../base/answers.ts';
 import { Budget } from '../base/budget.ts';
 import type { Outbox } from '../base/io.ts';
 import type { Condition, Settings, StateReply, UserAnswer } from '../base/model.ts';
@@ -220,8 +220,7 @@
   /** Answers a submission of a job that is on record already. */
   asKnown(id: JobId, answer: (a: UserAnswer) => void): void {
     this.ask(id, (a) => {
-      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id, status: a.status });
-      else answer(a.kind === 'retry' ? a : retry('the job is changing'));
+      answer(a.kind === 'not-found' ? retry('the job is changing') : toSubmission(a));
     });
   }
 }
--- a/src/core/share/recovery.ts
+++ b/src/core/share/recovery.ts
@@ -156,10 +156,8 @@
   private takeMachine(r: RosterMachine, page: RosterPage): Machine {
     // A type no longer offered still counts, as if it held everything, until the machine is settled.
     const type = this.catalogue.types.get(r.type) ?? vanishedType(r.type);
-    // Whoever owned the share before stops answering in time for the first (see docs/safety.md);
-    // this node may itself have answered the machine since.
-    const { cancelS, leaseS } = this.settings.workers;
-    const leaseEnds = Math.max(this.takenAt + cancelS * 1000, this.io.now + leaseS * 1001 + 500) as Instant;
+    // Whoever owned the share before stops answering in time for this (see docs/safety.md).
+    const leaseEnds = later(this.takenAt, this.settings.workers.cancelS * 1000);
     const m = this.machines.newMachine(r.id, type, r.zone, r.spot, leaseEnds);
     m.page = page;
     this.machines.touch(m);
@@ -170,9 +168,9 @@
     this.loaded = true;
     this.loadedAt = this.io.now;
     this.busy = false;
-    // Machines on the first of many pages may have been answered while the last was waited for.
-    const leaseEnds = later(this.io.now, this.settings.workers.leaseS * 1001 + 500);
-    for (const m of this.machines.all.values()) m.leaseEnds = Math.max(m.leaseEnds, leaseEnds) as Instant;
+    // This node may itself have answered the machines while it read.
+    const { leaseFromNow } = this.machines;
+    for (const m of this.machines.all.values()) m.leaseEnds = Math.max(m.leaseEnds, leaseFromNow) as Instant;
     this.onLoaded();
     this.io.log('info', 'state read', { jobs: this.jobs.open.size, machines: this.machines.all.size });
   }
--- a/src/core/share/share.ts
+++ b/src/core/share/share.ts
@@ -8,7 +8,7 @@
   type Revision,
   type Token,
 } from '../../types/index.ts';
-import { retry } from '../base/answers.ts';
+import { retry, toSubmission } from '../base/answers.ts';
 import type { Outbox } from '../base/io.ts';
 import type {
   Command,
@@ -516,9 +516,7 @@
   private acceptStill(spec: JobSpec, answer: (a: UserAnswer) => void): void {
     const known = this.status(spec.id);
     if (known === null) this.jobs.accept(spec, answer);
-    else if (known.kind === 'status' || known.kind === 'ended')
-      answer({ kind: 'known', id: spec.id, status: known.status });
-    else answer(known);
+    else answer(toSubmission(known));
   }
 
   /**
@@ -531,11 +529,9 @@
     answer: (a: UserAnswer) => void,
   ): void {
     this.lookup.ask(spec.id, (a) => {
-      if (a.kind === 'status' || a.kind === 'ended') answer({ kind: 'known', id: spec.id, status: a.status });
-      else if (a.kind === 'not-found') {
-        this.io.log('info', 'job refused', { job: spec.id, reason: refusal.reason });
-        answer(refusal);
-      } else answer(a);
+      if (a.kind !== 'not-found') return answer(toSubmission(a));
+      this.io.log('info', 'job refused', { job: spec.id, reason: refusal.reason });
+      answer(refusal);
     });
   }
 
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -7,11 +7,10 @@
 import type { JobSpec, UserAnswer } from '../src/core/base/model.ts';
 import type { JobId, TeamName } from '../src/types/index.ts';
 import { DRAWN, type History, histories, MEETINGS, playHistory, RARE } from './support/history.ts';
-import { CPUS_MAX, unfit } from './support/judged.ts';
+import { CANCEL_MS, CPUS_MAX, cutLeader, unfit } from './support/judged.ts';
 import { type OnMachine, type Room, Rules } from './support/rules.ts';
 import { job, World } from './support/world.ts';
 
-const CANCEL_MS = 40_000;
 const quiet = (w: World) => assert.deepEqual(w.broken, []);
 const id = 'run-1' as JobId;
 
@@ -27,12 +26,6 @@
   return { w, leader, others: [...w.nodes.keys()].filter((n) => n !== leader) };
 }
 
-/** The leader alone is refused by the state service and cut from the other controllers; its workers and users reach it. */
-function cutLeader(w: World, leader: string): void {
-  w.state.refused.add(leader);
-  for (const n of w.nodes.keys()) if (n !== leader) w.cut(n, leader, 'drop');
-}
-
 /** Until nothing of the job is on any machine. */
 const untilGone = (w: World): boolean =>
   w.until(() => [...w.workers.values()].every((m) => m.over || !m.live().some((t) => t.job === id)), 90);
--- a/test/support/history.ts
+++ b/test/support/history.ts
@@ -4,11 +4,10 @@
 import type { JobSpec, UserAnswer, UserRequest } from '../../src/core/base/model.ts';
 import { seeded } from '../../src/runtime/random.ts';
 import type { JobId, MachineId, TeamName, ZoneName } from '../../src/types/index.ts';
-import { CPUS_MAX, onMachines, rooms, unfit } from './judged.ts';
-import { Rules } from './rules.ts';
+import { rulesOf } from './judged.ts';
+import type { Rules } from './rules.ts';
 import { job, World } from './world.ts';
 
-const CANCEL_MS = 40_000;
 /** Troubles begin and end within this; what users do, too. */
 const TROUBLE_S = 90;
 /** What is accepted must be over this long after the last trouble. */
@@ -324,16 +323,7 @@
     // Two nodes are fewer than the world begins with.
     for (const n of [...this.w.nodes.keys()]) if (!this.names.includes(n)) this.w.crash(n);
     this.rnd = seeded(h.seed);
-    this.rules = new Rules(
-      {
-        cancelMs: CANCEL_MS,
-        cpusMax: CPUS_MAX,
-        unfit: (s) => unfit(this.w, s),
-        rooms: () => rooms(this.w),
-      },
-      () => onMachines(this.w),
-    );
-    this.w.rules = this.rules;
+    this.rules = rulesOf(this.w);
     this.w.onTold = (a) => {
       // Whoever was told that the job is known goes on asking, however the one who submitted it first fared.
       if (a.kind === 'accepted' || a.kind === 'known') this.poll(a.id);
@@ -494,6 +484,20 @@
     return who === 0 && leader !== undefined ? leader : this.names[who % this.names.length]!;
   }
 
+  /** Does it now and again and again, until what it returns is called. */
+  private repeat(everyMs: number, what: () => void): () => void {
+    let on = true;
+    const again = (): void => {
+      if (!on) return;
+      what();
+      this.w.after(everyMs, again);
+    };
+    again();
+    return () => {
+      on = false;
+    };
+  }
+
   private begin(t: Trouble): () => void {
     const { w } = this;
     const cutAll = (a: string, bs: Iterable<string>, mode: 'drop' | 'hold'): (() => void) => {
@@ -626,18 +630,8 @@
         return () => {
           this.looking = false;
         };
-      case 'odd-requests': {
-        let on = true;
-        const again = (): void => {
-          if (!on) return;
-          this.oddRequest();
-          w.after(700, again);
-        };
-        again();
-        return () => {
-          on = false;
-        };
-      }
+      case 'odd-requests':
+        return this.repeat(700, () => this.oddRequest());
       case 'hand-over': {
         const first = this.node(0);
         this.end(first, t.backS);
@@ -662,18 +656,8 @@
           for (const heal of heals) heal();
         };
       }
-      case 'stream': {
-        let on = true;
-        const again = (): void => {
-          if (!on) return;
-          this.streamJob();
-          w.after(250, again);
-        };
-        again();
-        return () => {
-          on = false;
-        };
-      }
+      case 'stream':
+        return this.repeat(250, () => this.streamJob());
       case 'cloud-down':
         w.cloud.down = true;
         return () => {
--- a/test/support/judged.ts
+++ b/test/support/judged.ts
@@ -10,6 +10,16 @@
 export const CPUS_MAX = new Map([['small', 6]]);
 const LOOK_MS = 500;
 
+/** The leader alone is refused by the state service and cut from the other controllers; these machines stay with it. */
+export function cutLeader(w: World, leader: string, machines: readonly string[] = []): void {
+  w.state.refused.add(leader);
+  for (const n of w.nodes.keys()) {
+    if (n === leader) continue;
+    w.cut(n, leader, 'drop');
+    for (const m of machines) w.cut(n, m, 'drop');
+  }
+}
+
 export function* onMachines(w: World): Iterable<OnMachine> {
   for (const m of w.workers.values()) {
     if (m.over) continue;
@@ -62,25 +72,33 @@
   /** The job is asked about every second, at each node in turn, from now on. */
   follow(id: JobId): void;
   /** Repeated every second, at each node in turn, until it is answered with something else than to come back. */
-  insist(request: UserRequest, first?: number): { over: boolean };
+  insist(request: UserRequest): { over: boolean };
+}
+
+/** The rules of this world, told of all that happens in it; to be looked at by whoever plays it. */
+export function rulesOf(w: World): Rules {
+  const limits = {
+    cancelMs: CANCEL_MS,
+    cpusMax: CPUS_MAX,
+    unfit: (s: JobSpec) => unfit(w, s),
+    rooms: () => rooms(w),
+  };
+  w.rules = new Rules(limits, () => onMachines(w));
+  return w.rules;
 }
 
 export function judge(w: World): Judged {
-  const rules = new Rules(
-    { cancelMs: CANCEL_MS, cpusMax: CPUS_MAX, unfit: (s) => unfit(w, s), rooms: () => rooms(w) },
-    () => onMachines(w),
-  );
-  w.rules = rules;
+  const rules = rulesOf(w);
   const look = (): void => {
     rules.look(w.now);
     w.after(LOOK_MS, look);
   };
   look();
+  let turn = 0;
   const names = (): string => {
     const up = [...w.nodes.keys()];
     return up[turn++ % Math.max(1, up.length)] ?? w.nodeNames[0]!;
   };
-  let turn = 0;
   const follow = (id: JobId): void => {
     w.ask(names(), { op: 'status', id });
     w.after(1000, () => follow(id));
--- a/test/takeovers.test.ts
+++ b/test/takeovers.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import type { JobSpec, Report, StateOp } from '../src/core/base/model.ts';
 import type { JobId, TeamName, ZoneName } from '../src/types/index.ts';
-import { type Judged, judge } from './support/judged.ts';
+import { cutLeader, type Judged, judge } from './support/judged.ts';
 import { job, World } from './support/world.ts';
 
 const quiet = (w: World) => assert.deepEqual(w.broken, []);
@@ -28,16 +28,6 @@
 }
 
 const kept = (w: World, machine: string): Report => structuredClone(w.workers.get(machine)!.report());
-/** The leader alone is refused by the state service and cut from the other controllers; this machine stays with it. */
-function cutLeader(w: World, leader: string, machine: string): void {
-  w.state.refused.add(leader);
-  for (const n of w.nodes.keys())
-    if (n !== leader) {
-      w.cut(n, leader, 'drop');
-      w.cut(n, machine, 'drop');
-    }
-}
-
 for (const gone of [false, true])
   test(`a report kept for the next leader, of a machine that ${gone ? 'is gone' : 'lost its task'}, frees nothing that runs where it has not looked`, () => {
     const { w, leader } = running();
@@ -61,7 +51,7 @@
       w.run(4);
     }
     // The machine that runs it follows a leader that is cut off; the other is not in reach of the next one at first.
-    cutLeader(w, leader, second!);
+    cutLeader(w, leader, [second!]);
     for (const n of w.nodes.keys()) w.cut(first!, n, 'drop');
     assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 10));
     w.run(0.4);
@@ -122,7 +112,7 @@
     'both run',
   );
   const leader = w.owner!;
-  for (const m of w.workers.keys()) cutLeader(w, leader, m);
+  cutLeader(w, leader, [...w.workers.keys()]);
   assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 12));
   assert.equal(w.insist({ op: 'cancel', id }, w.owner!, 10)?.kind, 'ended');
   const term = w.state.keys.get('share/0')!.revision;
@@ -482,7 +472,7 @@
     const at = w.now + 1000;
     w.at(at, () => j.insist({ op: 'cancel', id }));
     w.at(at + ms, () => {
-      for (const m of w.workers.keys()) cutLeader(w, leader, m);
+      cutLeader(w, leader, [...w.workers.keys()]);
     });
     w.at(at + 1000, () => w.state.outage(60));
     j.follow(id);
@@ -565,7 +555,7 @@
   const follow = w.holders(id);
   // They follow the leader, which is cut off, and live on; nobody can return them.
   w.cloud.down = true;
-  for (const m of follow) cutLeader(w, leader, m);
+  cutLeader(w, leader, follow);
   assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 12));
   const next = w.owner!;
   assert.equal(w.insist({ op: 'submit', spec: job('run-3', small) }, next, 5)?.kind, 'accepted');
@@ -595,7 +585,7 @@
   w.run(3);
   const leader = w.owner!;
   w.cloud.down = true;
-  cutLeader(w, leader, second!.id);
+  cutLeader(w, leader, [second!.id]);
   for (const m of w.workers.keys()) if (m !== second!.id) w.cut(m, leader, 'drop');
   assert.ok(w.until(() => w.owner !== undefined && w.owner !== leader, 12));
   const term = w.state.keys.get('share/0')!.revision;
