Log why a job waits beside machines with room

These could each explain it: the job avoids the machine on which it failed; it backs off; no cycle runs; the machine is reserved, or worth more to other work; the team's quota; the plan for new machines counts that machine, or the cloud refuses others.

Change: the leader logs, every 10 s at most, the job that has waited longest if machines have room for it, with the number of such machines for each of these reasons.

--- a/src/core/autoscaling/autoscaler.ts
+++ b/src/core/autoscaling/autoscaler.ts
@@ -4,6 +4,7 @@
   addMs,
   type Instant,
   LONG_AGO,
+  type MachineId,
   type MachineTypeName,
   type Millis,
   type Revision,
@@ -99,6 +100,11 @@
     return this.supplyForecast.pendingCapacity;
   }
 
+  /** Machines whose capacity the last plan uses; the set is updated by each plan. */
+  get neededMachines(): ReadonlySet<MachineId> {
+    return this.planner.neededMachines;
+  }
+
   /** Whether a call to the cloud that releases machines is in flight. */
   get isScalingIn(): boolean {
     return this.scaleIn.isInProgress;
--- a/src/core/leader/leader-term.ts
+++ b/src/core/leader/leader-term.ts
@@ -245,6 +245,7 @@
     this.autoscaler.tick(canCommandFleet, this.authority.holdsLease());
     this.rollout.tick(this.authority.holdsLease());
     this.overQuotaEviction.tick(canCommandFleet);
+    this.scheduling.waitingJobReport.tick();
   }
 
   private refreshScores(): void {
--- a/src/core/leader/term-scheduling.ts
+++ b/src/core/leader/term-scheduling.ts
@@ -10,6 +10,7 @@
 import { Preemption } from '../scheduling/preemption.ts';
 import { Reservations } from '../scheduling/reservations.ts';
 import { Scheduler, type SchedulerOptions } from '../scheduling/scheduler.ts';
+import { WaitingJobReport } from '../scheduling/waiting-job-report.ts';
 import type { RecoveryState } from './recovery-state.ts';
 import type { TermAuthority } from './term-authority.ts';
 import type { TermState } from './term-state.ts';
@@ -32,6 +33,7 @@
   readonly binPacking: BinPackingScorer;
   readonly fairShare: FairShare;
   readonly scheduler: Scheduler;
+  readonly waitingJobReport: WaitingJobReport;
 }
 
 /** Creates the scheduler of a new term with its dependencies. */
@@ -64,7 +66,17 @@
     reservations,
     preemption,
   });
-  return { binPacking, fairShare, scheduler };
+  const { neededMachines } = state.autoscaler;
+  const waitingJobReport = new WaitingJobReport({
+    io,
+    jobs,
+    capacityIndex,
+    quota,
+    binPacking,
+    reservations,
+    neededMachines,
+  });
+  return { binPacking, fairShare, scheduler, waitingJobReport };
 }
 
 function createBinPacking({ state, types, commandDelayS }: TermSchedulingDependencies): BinPackingScorer {
