Leave out a machine that failed a job for a time, and in every place

An accepted job must run, and none may wait 90 s beside a machine with room.

Cause: two places disagreed about the same capacity. Placement left out up to two machines on which the job had failed (gangs and reservations: all of them) until one of its tasks succeeded, which cannot happen while it is not started. The plan for new machines counted the room of these very machines for the job, so it requested no other, and kept them as needed. A machine is cordoned only after three failures in a row, and nothing else ended the wait.

Change: FailureHistory decides for a job which machines it avoids, and every place asks it: placement on room and on queues, gangs, reservations, the return of queued tasks, the plan, and the value of capacity to a class. - A machine is avoided for 30 s after the last failure there. From then on the job may use it again; it ranks behind all machines that have not failed it. - The plan does not count its room for the job, so another is rented at once; it keeps the machine, as the job returns to it if it gets no other. - Tasks of the job in that machine's queue go back, and a reservation ends. - Machines are not kept for the class of a job that avoids them or backs off: a small job waited beside the idle machine for as long as the large one did. - Failures are forgotten after 5 minutes without another, as replicas of services never succeed. At most 32 machines are remembered. A job that failed on three machines still counts as faulty: it avoids none, and backs off as before; three failures in a row still cordon a machine.

Why it works: a wait beside a machine with room now ends by time alone, at the latest 30 s after the failure or, when faulty, after the back-off of 20 s, and what the plan counts for a job is what placement lets it use.

--- a/src/core/autoscaling/autoscaler.ts
+++ b/src/core/autoscaling/autoscaler.ts
@@ -80,6 +80,7 @@
     this.scaleOut = scaleOut;
     this.supplyForecast = new SupplyForecast({ io, machines, estimates, reachability, scaleOut });
     this.planner = new DemandPlanner({
+      io,
       jobs,
       quota,
       types,
--- a/src/core/autoscaling/capacity-plan.ts
+++ b/src/core/autoscaling/capacity-plan.ts
@@ -3,7 +3,7 @@
 import type { Job } from '../jobs/job.ts';
 import { isGang, tasksPerMachine } from '../jobs/placement-constraints.ts';
 import { isBoundToSameZone, isSpread, maxTasksPerZone } from '../jobs/zone-constraints.ts';
-import { type CapacitySupply, placeOn, requestedCapacity } from './capacity-supply.ts';
+import { type CapacityDemand, type CapacitySupply, placeOn, requestedCapacity } from './capacity-supply.ts';
 import { type MachineOffer, offerKey } from './machine-offer.ts';
 import type { OfferBackoff } from './offer-backoff.ts';
 import type { OfferSelection } from './offer-selection.ts';
@@ -53,11 +53,12 @@
    * Provides capacity for up to `tasks` waiting and queued tasks of the job; for a gang, for all or for none.
    */
   provideForJob(job: Job, tasks: number): void {
-    if (isGang(job.spec)) this.provideForGang(job, tasks);
-    else if (isSpread(job.spec)) this.provideSpread(job, tasks);
+    const demand: CapacityDemand = { job, tasks, zone: null, isSpare: false };
+    if (isGang(job.spec)) this.provideForGang(demand);
+    else if (isSpread(job.spec)) this.provideSpread(demand);
     // A job bound to one zone cannot use capacity in a zone other than that of its placed tasks.
-    else if (isBoundToSameZone(job.spec)) this.provideInOneZone(job, tasks, this.eligibleZones(job));
-    else this.provide(job, tasks, null);
+    else if (isBoundToSameZone(job.spec)) this.provideInOneZone(demand, this.eligibleZones(job));
+    else this.provide(demand);
   }
 
   /**
@@ -65,37 +66,43 @@
    * size of the largest gang, each within one zone.
    */
   provideSpareCapacity({ job, tasks, maxTasksPerJob }: SpareRequirement): void {
+    const demand: CapacityDemand = { job, tasks, zone: null, isSpare: true };
     if (job.spec.kind !== 'gang' || !job.spec.oneZone) {
-      this.provide(job, tasks, null);
+      this.provide(demand);
       return;
     }
-    for (let remaining = tasks; remaining > 0; remaining -= maxTasksPerJob)
-      this.provideInOneZone(job, Math.min(remaining, maxTasksPerJob), this.offers.allZones());
+    for (let remaining = tasks; remaining > 0; remaining -= maxTasksPerJob) {
+      const portion = { ...demand, tasks: Math.min(remaining, maxTasksPerJob) };
+      this.provideInOneZone(portion, this.offers.allZones());
+    }
   }
 
-  private provide(job: Job, tasks: number, zone: ZoneName | null): void {
-    const missingTasks = tasks - this.supply.reserve(job, tasks, zone, this.neededMachines);
+  private provide(demand: CapacityDemand): void {
+    const { job, tasks, zone } = demand;
+    const missingTasks = tasks - this.supply.reserve(demand, this.neededMachines);
     if (missingTasks > 0) this.requestMachines(job, missingTasks, zone);
   }
 
-  private provideForGang(job: Job, tasks: number): void {
+  private provideForGang(demand: CapacityDemand): void {
+    const { job, tasks } = demand;
     if (tasks < job.waitingTasks + job.queuedTasks) return;
-    if (job.spec.oneZone) this.provideInOneZone(job, tasks, this.eligibleZones(job));
-    else this.provide(job, tasks, null);
+    if (job.spec.oneZone) this.provideInOneZone(demand, this.eligibleZones(job));
+    else this.provide(demand);
   }
 
   /** Provides all capacity in the zone where the machines for the missing capacity cost least. */
-  private provideInOneZone(job: Job, tasks: number, zones: readonly ZoneName[]): void {
+  private provideInOneZone(demand: CapacityDemand, zones: readonly ZoneName[]): void {
+    const { job, tasks } = demand;
     let best: { zone: ZoneName; cost: number } | null = null;
     const offers = this.offers.offersFor(job);
     for (const zone of zones) {
-      const missingTasks = tasks - this.supply.countPlaceable(job, tasks, zone);
+      const missingTasks = tasks - this.supply.countPlaceable({ ...demand, zone });
       const offer = offers.find((candidate) => candidate.zone === zone);
       if (missingTasks > 0 && offer === undefined) continue;
       const cost = missingTasks * (offer?.costPerTask ?? 0);
       if (best === null || cost < best.cost) best = { zone, cost };
     }
-    if (best !== null) this.provide(job, tasks, best.zone);
+    if (best !== null) this.provide({ ...demand, zone: best.zone });
   }
 
   /**
@@ -103,14 +110,16 @@
    * each zone may have. Capacity beyond that number is not counted: the job cannot use it, and counting it
    * would prevent machines from being requested in the zones where the job can use them.
    */
-  private provideSpread(job: Job, tasks: number): void {
-    this.provide(job, Math.min(tasks, job.queuedTasks), null);
+  private provideSpread(demand: CapacityDemand): void {
+    const { job, tasks } = demand;
+    this.provide({ ...demand, tasks: Math.min(tasks, job.queuedTasks) });
     let remaining = tasks - job.queuedTasks;
     const offers = this.offers.offersFor(job);
     const allowedByZone = this.tasksAllowedByZone(job);
     for (const [zone, allowed] of allowedByZone) {
       if (remaining <= 0 || allowed <= 0) continue;
-      const used = this.supply.reserve(job, Math.min(remaining, allowed), zone, this.neededMachines);
+      const inZone = { ...demand, tasks: Math.min(remaining, allowed), zone };
+      const used = this.supply.reserve(inZone, this.neededMachines);
       allowedByZone.set(zone, allowed - used);
       remaining -= used;
     }
--- a/src/core/autoscaling/capacity-supply.ts
+++ b/src/core/autoscaling/capacity-supply.ts
@@ -1,5 +1,5 @@
 // Free capacity on machines that are up, booting or requested, by pool, while a capacity plan is built.
-import type { MachineId, ZoneName } from '../../types/index.ts';
+import type { Instant, MachineId, ZoneName } from '../../types/index.ts';
 import type { JobSpec, MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import { needsAtLeast, placementKey } from '../jobs/placement-constraints.ts';
@@ -16,6 +16,16 @@
   readonly machine: Machine | null;
 }
 
+/** Tasks that need capacity. */
+export interface CapacityDemand {
+  readonly job: Job;
+  readonly tasks: number;
+  /** The zone that they must run in; null: any that the job allows. */
+  readonly zone: ZoneName | null;
+  /** The tasks are of jobs like this one that may arrive: its failures do not count for them. */
+  readonly isSpare: boolean;
+}
+
 /** Tolerance for sums of fractional CPUs and GPUs. */
 const ROUNDING_TOLERANCE = 1e-9;
 /** Machines with less CPU capacity than this are ignored. */
@@ -114,6 +124,9 @@
   /** After a failed search, a job that requires at least as much from the same pools is not searched for. */
   private failedSearches: FailedSearch[] = [];
 
+  /** `now`: when the plan is made. */
+  constructor(private readonly now: Instant) {}
+
   /** Adds the capacity of a machine. */
   add(capacity: MachineCapacity): void {
     if (capacity.cpus < MIN_USABLE_CPUS) return;
@@ -127,13 +140,15 @@
     pool.add(capacity);
   }
 
-  /** The number of tasks, up to `tasks`, that there is capacity for in the zone; null: in all zones. */
-  countPlaceable(job: Job, tasks: number, zone: ZoneName | null): number {
-    if (this.hasSearchFailed(job, scopeOf(job, zone))) return 0;
+  /** The number of the demanded tasks that there is capacity for. */
+  countPlaceable(demand: CapacityDemand): number {
+    const { job, tasks } = demand;
+    if (this.hasSearchFailed(demand)) return 0;
     let found = 0;
-    for (const pool of this.poolsFor(job, zone))
+    for (const pool of this.poolsFor(demand))
       for (const list of pool.listsFor(job))
         for (const capacity of list) {
+          if (this.isAvoided(capacity, demand)) continue;
           found += slotsOf(capacity, job);
           if (found >= tasks) return tasks;
         }
@@ -141,29 +156,60 @@
   }
 
   /**
-   * Reserves capacity for up to `tasks` tasks and adds the machines used to `neededMachines`; returns the
-   * number of tasks.
+   * Reserves capacity for as many of the demanded tasks as fit and adds the machines used to
+   * `neededMachines`; returns the number of tasks. A machine that the job avoids for now is kept as well, as
+   * the job uses it again if it gets no other.
    */
-  reserve(job: Job, tasks: number, zone: ZoneName | null, neededMachines: Set<MachineId>): number {
-    const scope = scopeOf(job, zone);
-    if (this.hasSearchFailed(job, scope)) return 0;
+  reserve(demand: CapacityDemand, neededMachines: Set<MachineId>): number {
+    const { job, tasks } = demand;
+    if (this.hasSearchFailed(demand)) return 0;
     let remaining = tasks;
-    for (const pool of this.poolsFor(job, zone))
+    for (const pool of this.poolsFor(demand))
       for (const list of pool.listsFor(job)) {
-        remaining -= reserveFromList(list, pool, job, remaining, neededMachines);
+        remaining -= this.reserveFromList(list, pool, { ...demand, tasks: remaining }, neededMachines);
         if (remaining <= 0) return tasks;
       }
-    if (remaining > 0) this.failedSearches.push({ scope, spec: job.spec });
+    // Other jobs may use the machines that this one avoids: the search has failed for this job only.
+    const isForAllJobs = demand.isSpare || !job.failures.avoidsAny(this.now);
+    if (remaining > 0 && isForAllJobs) this.failedSearches.push({ scope: scopeOf(demand), spec: job.spec });
     return tasks - remaining;
   }
 
-  private hasSearchFailed(job: Job, scope: string): boolean {
+  /** Reserves capacity from one list of the pool; returns the number of tasks that fit. */
+  private reserveFromList(
+    list: MachineCapacity[],
+    pool: PoolCapacity,
+    demand: CapacityDemand,
+    neededMachines: Set<MachineId>,
+  ): number {
+    const { job, tasks } = demand;
+    let used = 0;
+    for (let index = list.length - 1; index >= 0 && used < tasks; index--) {
+      const capacity = list[index]!;
+      if (slotsOf(capacity, job) <= 0) continue;
+      if (capacity.machine !== null) neededMachines.add(capacity.machine.id);
+      if (this.isAvoided(capacity, demand)) continue;
+      used += placeOn(capacity, job, tasks - used);
+      // The machine moves to another list. The last element, which has been examined already, takes its place.
+      const last = list.pop()!;
+      if (last !== capacity) list[index] = last;
+      pool.add(capacity);
+    }
+    return used;
+  }
+
+  private isAvoided({ machine }: MachineCapacity, { job, isSpare }: CapacityDemand): boolean {
+    return machine !== null && !isSpare && job.failures.avoids(machine.id, this.now);
+  }
+
+  private hasSearchFailed(demand: CapacityDemand): boolean {
+    const scope = scopeOf(demand);
     return this.failedSearches.some(
-      (search) => search.scope === scope && needsAtLeast(job.spec, search.spec),
+      (search) => search.scope === scope && needsAtLeast(demand.job.spec, search.spec),
     );
   }
 
-  private *poolsFor({ spec }: Job, zone: ZoneName | null): Iterable<PoolCapacity> {
+  private *poolsFor({ job: { spec }, zone }: CapacityDemand): Iterable<PoolCapacity> {
     for (const pool of this.pools.values()) {
       const { offer } = pool;
       if (offer.spot && !spec.spot) continue;
@@ -174,27 +220,4 @@
   }
 }
 
-/** Reserves capacity from one list of the pool; returns the number of tasks that fit. */
-function reserveFromList(
-  list: MachineCapacity[],
-  pool: PoolCapacity,
-  job: Job,
-  tasks: number,
-  neededMachines: Set<MachineId>,
-): number {
-  let used = 0;
-  for (let index = list.length - 1; index >= 0 && used < tasks; index--) {
-    const capacity = list[index]!;
-    const placed = placeOn(capacity, job, tasks - used);
-    if (placed === 0) continue;
-    used += placed;
-    if (capacity.machine !== null) neededMachines.add(capacity.machine.id);
-    // The machine moves to another list. The last element, which has been examined already, takes its place.
-    const last = list.pop()!;
-    if (last !== capacity) list[index] = last;
-    pool.add(capacity);
-  }
-  return used;
-}
-
-const scopeOf = (job: Job, zone: ZoneName | null): string => `${zone ?? ''}|${placementKey(job.spec)}`;
+const scopeOf = ({ job, zone }: CapacityDemand): string => `${zone ?? ''}|${placementKey(job.spec)}`;
--- a/src/core/autoscaling/demand-planner.ts
+++ b/src/core/autoscaling/demand-planner.ts
@@ -1,5 +1,6 @@
 // Plans capacity for the demand: open jobs in the order of `unplacedJobs`, then spare capacity.
 import type { MachineId, MachineTypeName, TeamName } from '../../types/index.ts';
+import type { ControllerIo } from '../base/io.ts';
 import type { MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import type { JobTable } from '../jobs/job-table.ts';
@@ -12,11 +13,9 @@
 import { readyTimeS, type SpareCapacity } from './spare-capacity.ts';
 import type { SupplyForecast } from './supply-forecast.ts';
 
-/** No capacity is provided for a job that failed on this many machines since one of its tasks succeeded. */
-const MAX_FAILED_MACHINES = 3;
-
 /** Dependencies of {@link DemandPlanner}. */
 export interface DemandPlannerDependencies {
+  io: ControllerIo;
   jobs: JobTable;
   quota: Quota;
   types: ReadonlyMap<MachineTypeName, MachineType>;
@@ -31,6 +30,7 @@
 export class DemandPlanner {
   /** Machines whose capacity the last plan uses; they are not released. */
   readonly neededMachines = new Set<MachineId>();
+  private readonly io: ControllerIo;
   private readonly jobs: JobTable;
   private readonly quota: Quota;
   private readonly types: ReadonlyMap<MachineTypeName, MachineType>;
@@ -41,6 +41,7 @@
   private readonly scaleOut: ScaleOut;
 
   constructor(dependencies: DemandPlannerDependencies) {
+    this.io = dependencies.io;
     this.jobs = dependencies.jobs;
     this.quota = dependencies.quota;
     this.types = dependencies.types;
@@ -73,7 +74,7 @@
    */
   private unplacedJobs(): Job[] {
     const jobs = [...this.jobs.openJobs.values()].filter(
-      (job) => !job.isCancelling && job.unplacedTasks > 0 && job.failedMachines.size < MAX_FAILED_MACHINES,
+      (job) => !job.isCancelling && job.unplacedTasks > 0 && !job.failures.isJobFaulty(this.io.now),
     );
     return jobs.sort(
       (a, b) =>
--- a/src/core/autoscaling/supply-forecast.ts
+++ b/src/core/autoscaling/supply-forecast.ts
@@ -52,7 +52,7 @@
 
   /** Forecasts the supply from the current state of machines and requests. */
   forecast(): CapacitySupply {
-    const supply = new CapacitySupply();
+    const supply = new CapacitySupply(this.io.now);
     const pending = new Map<MachineType, number>();
     this.reachability.update(this.machines.byId.values());
     for (const machine of this.machines.byId.values()) {
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -12,6 +12,7 @@
 } from '../../types/index.ts';
 import type { JobSpec, JobStatus, Priority } from '../base/model.ts';
 import type { FencedWrite } from '../storage/fenced-writer.ts';
+import { FailureHistory } from './failure-history.ts';
 import { hasBit, TaskBitmap } from './task-bitmap.ts';
 import { TaskPhase, TaskPhases } from './task-phases.ts';
 
@@ -92,10 +93,7 @@
   /** Number of the job's tasks on machines and in machines' queues, by zone. */
   readonly tasksByZone = new Map<ZoneName, number>();
 
-  /** Number of task failures since the last success. */
-  failures = 0;
-  /** The machines on which these failures occurred. */
-  readonly failedMachines = new Set<MachineId>();
+  readonly failures = new FailureHistory();
   /** No task is started before this time. */
   retryAt: Instant = LONG_AGO;
   /** The attempt number that all tasks of a gang share; null while none of them is assigned. */
--- a/src/core/leader/leader-term.ts
+++ b/src/core/leader/leader-term.ts
@@ -251,12 +251,14 @@
   private refreshScores(): void {
     if (this.io.now < this.nextScoreRefreshAt) return;
     this.nextScoreRefreshAt = addMs(this.io.now, SCORE_REFRESH_MS);
-    this.scheduling.binPacking.refresh(
-      this.jobs.openJobs.values(),
-      this.capacityIndex,
-      (jobClass) => this.autoscaler.spareCapacity.expectedArrivals(jobClass, ARRIVAL_FORECAST_MS),
-      (job) => this.quota.allowedTasks(job),
-    );
+    this.scheduling.binPacking.refresh({
+      now: this.io.now,
+      jobs: this.jobs.openJobs.values(),
+      capacityIndex: this.capacityIndex,
+      expectedTasks: (jobClass) =>
+        this.autoscaler.spareCapacity.expectedArrivals(jobClass, ARRIVAL_FORECAST_MS),
+      allowedTasks: (job) => this.quota.allowedTasks(job),
+    });
     // Queue timeouts and back-offs expire without an input that would request a cycle.
     this.scheduler.requestCycle();
   }
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -13,11 +13,6 @@
 
 /** Consecutive task failures after which a machine counts as faulty. */
 const FAULTY_MACHINE_FAILURES = 3;
-/** Number of machines on which a job has failed after which the job itself counts as faulty. */
-const FAULTY_JOB_MACHINES = 3;
-const BACKOFF_MS = 1000;
-const BACKOFF_MAX_MS = 20_000;
-const BACKOFF_MAX_DOUBLINGS = 10;
 
 /** A listed task with its reconciliation result; if the same object is listed again, no lookup is needed. */
 export interface ListedTask extends TaskStatus {
@@ -205,8 +200,7 @@
   ): void {
     if (exitReason === 'done') {
       this.jobs.completeTask(job, index);
-      job.failures = 0;
-      job.failedMachines.clear();
+      job.failures.clear();
       machine.consecutiveFailures = 0;
       if (assignment !== undefined) this.listener.onTaskCompleted(assignment);
     } else if (exitReason === 'error') this.recordFailure(machine, job, index);
@@ -216,21 +210,28 @@
 
   /** Delays the retry of a job that fails on several machines; else cordons a machine that keeps failing. */
   private recordFailure(machine: Machine, job: Job, index: number): void {
-    job.failures++;
-    job.failedMachines.add(machine.id);
+    const { now } = this.io;
+    job.failures.record(machine.id, now);
     machine.consecutiveFailures++;
-    const isJobFaulty = job.failedMachines.size >= FAULTY_JOB_MACHINES;
-    const waitMs = isJobFaulty ? backoffMs(job.failures) : 0;
-    job.retryAt = addMs(this.io.now, waitMs);
+    const waitMs = job.failures.backoffMs(now);
+    job.retryAt = addMs(now, waitMs);
+    this.dequeueAvoiding(machine, job);
     this.io.log('info', 'task failed', {
       machine: machine.id,
       task: taskId(job.id, index),
-      failures: job.failures,
+      failures: job.failures.count,
       waitMs,
     });
-    if (!isJobFaulty && machine.consecutiveFailures >= FAULTY_MACHINE_FAILURES)
+    if (!job.failures.isJobFaulty(now) && machine.consecutiveFailures >= FAULTY_MACHINE_FAILURES)
       this.updater.cordon(machine, CordonReason.failingTasks);
   }
+
+  /** Removes the job's other tasks from the machine's queue if the job now avoids the machine. */
+  private dequeueAvoiding(machine: Machine, job: Job): void {
+    if (!job.failures.avoids(machine.id, this.io.now)) return;
+    for (const queued of [...machine.queue])
+      if (queued.job === job) this.assignments.dequeue(machine, queued);
+  }
 }
 
 /** Removes exited tasks that the machine no longer lists. */
@@ -241,6 +242,3 @@
     machine.exitedTasks.delete(key);
   }
 }
-
-const backoffMs = (failures: number): number =>
-  Math.min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** Math.min(BACKOFF_MAX_DOUBLINGS, failures));
--- a/src/core/scheduling/bin-packing.ts
+++ b/src/core/scheduling/bin-packing.ts
@@ -4,9 +4,15 @@
 import type { MachineTypeName } from '../../types/index.ts';
 import type { MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
-import type { CapacityIndex } from '../machines/capacity-index.ts';
 import type { Machine, MachinePool } from '../machines/machine.ts';
-import { type Capacity, ClassValues, freeCapacityOf, tasksFitting } from './class-values.ts';
+import {
+  type Capacity,
+  type CapacitySource,
+  type ClassValueInputs,
+  ClassValues,
+  freeCapacityOf,
+  tasksFitting,
+} from './class-values.ts';
 
 /** A task is not placed where it displaces other work that is worth more than this many times as much. */
 const WASTEFUL_COST_RATIO = 1.6;
@@ -24,6 +30,8 @@
 const LATE_START_WEIGHT = 2;
 const MAX_LATE_START_PENALTY = 1;
 const MIN_FETCH_GB_PER_S = 1e-3;
+/** Ranks machines on which the job has failed behind all others, whose scores are far lower. */
+const FAILED_MACHINE_PENALTY = 1000;
 
 /** Scores machines for tasks; lower is better. */
 export class BinPackingScorer {
@@ -42,13 +50,8 @@
   }
 
   /** Updates the values of the classes from the open jobs; see `ClassValues.refresh`. */
-  refresh(
-    jobs: Iterable<Job>,
-    capacityIndex: CapacityIndex,
-    expectedTasks: (className: string) => number,
-    allowedTasks: (job: Job) => number,
-  ): void {
-    this.classValues.refresh(jobs, capacityIndex, expectedTasks, allowedTasks);
+  refresh(inputs: ClassValueInputs): void {
+    this.classValues.refresh(inputs);
   }
 
   /** The lowest priority among the classes. */
@@ -72,24 +75,23 @@
   }
 
   /** The score of an empty machine of the pool: how well its type suits the job; lower is better. */
-  typeScore(job: Job, { type, spot }: MachinePool): number {
-    return this.displacementCost(job, type, type, spot, job.priority);
+  typeScore(job: Job, pool: MachinePool): number {
+    return this.displacementCost(job, pool, pool.type, job.priority);
   }
 
   /** Lower is better; infinite if the task would displace work that is worth much more than itself. */
   score(job: Job, machine: Machine): number {
-    const { type, spot } = machine;
     const capacity = freeCapacityOf(machine);
     // Only work of at least the job's priority may exclude a machine. Otherwise urgent work waits beside idle
     // machines: services did not use 197 idle machines, as each was worth more to a gang of lower priority.
-    const costToUrgent = this.displacementCost(job, type, capacity, spot, job.priority);
+    const costToUrgent = this.displacementCost(job, machine, capacity, job.priority);
     if (costToUrgent > WASTEFUL_COST_RATIO) return Number.POSITIVE_INFINITY;
     // Of the machines that are left, the one that is worth least to work of all priorities is best.
     const cost =
       job.priority <= this.lowestPriority
         ? costToUrgent
-        : this.displacementCost(job, type, capacity, spot, this.lowestPriority);
-    const freeCpusAfter = Math.max(0, machine.freeCpus - job.spec.cpus) / type.cpus;
+        : this.displacementCost(job, machine, capacity, this.lowestPriority);
+    const freeCpusAfter = Math.max(0, machine.freeCpus - job.spec.cpus) / machine.type.cpus;
     // The terms below are finite penalties: fetching an image displaces no other work, so that even a long
     // fetch must not exclude an idle machine.
     const basePenalty =
@@ -97,7 +99,17 @@
       this.fetchPenalty(job, machine) +
       freeCpusAfter * FREE_CPUS_WEIGHT +
       this.pricePenalty(job, machine);
-    return basePenalty + this.fetchDelayPenalty(job, machine) + this.lateStartPenalty(job, machine);
+    return (
+      basePenalty +
+      this.fetchDelayPenalty(job, machine) +
+      this.lateStartPenalty(job, machine) +
+      this.failurePenalty(job, machine)
+    );
+  }
+
+  /** Penalty for a machine on which the job has failed: it is used only if there is no other. */
+  failurePenalty(job: Job, machine: Machine): number {
+    return job.failures.hasFailedOn(machine.id) ? FAILED_MACHINE_PENALTY : 0;
   }
 
   /**
@@ -106,9 +118,8 @@
    */
   private displacementCost(
     job: Job,
-    type: MachineType,
+    source: CapacitySource,
     capacity: Capacity,
-    spot: boolean,
     minPriority: number,
   ): number {
     const { spec } = job;
@@ -119,8 +130,8 @@
       gpus: capacity.gpus - spec.gpus,
       memoryGb: capacity.memoryGb - spec.memoryGb,
     };
-    const valueBefore = this.classValues.valueOfCapacity(capacity, type.name, spot, minPriority);
-    const valueAfter = this.classValues.valueOfCapacity(remaining, type.name, spot, minPriority);
+    const valueBefore = this.classValues.valueOfCapacity(capacity, source, minPriority);
+    const valueAfter = this.classValues.valueOfCapacity(remaining, source, minPriority);
     return (valueBefore - valueAfter) / ownValue;
   }
 
--- a/src/core/scheduling/class-values.ts
+++ b/src/core/scheduling/class-values.ts
@@ -1,6 +1,6 @@
 // Values a task of each class by the price of the machines that it needs, and free capacity by the value of
 // the waiting or expected tasks that fit into it.
-import type { MachineTypeName } from '../../types/index.ts';
+import { type Instant, LONG_AGO, type MachineId, type MachineTypeName } from '../../types/index.ts';
 import type { JobSpec, MachineType, Priority } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
@@ -13,6 +13,25 @@
   memoryGb: number;
 }
 
+/** Where capacity is: on one machine, or on any of a pool, which has no id. */
+export interface CapacitySource {
+  readonly id?: MachineId;
+  readonly type: MachineType;
+  readonly spot: boolean;
+}
+
+/** What the values are computed from. */
+export interface ClassValueInputs {
+  now: Instant;
+  /** The open jobs. */
+  jobs: Iterable<Job>;
+  capacityIndex: CapacityIndex;
+  /** Number of tasks of the class that are expected to arrive soon. */
+  expectedTasks: (className: string) => number;
+  /** Number of tasks of the job that its team's quota allows. */
+  allowedTasks: (job: Job) => number;
+}
+
 /** A task with the mean needs of the open jobs of a class. */
 interface ClassProfile extends Capacity {
   /** Machine types that it may run on; null: any. */
@@ -22,6 +41,8 @@
   priority: number;
   /** Whether it may run on spot machines. */
   spot: boolean;
+  /** The waiting jobs of the class if each of them avoids some machines for now; otherwise empty. */
+  avoidingJobs: readonly Job[];
 }
 
 /** Sums over the open jobs of a class. */
@@ -33,6 +54,9 @@
   waitingTasks: number;
   /** The highest priority among the jobs with such tasks. */
   waitingPriority: number;
+  /** Number of jobs with such tasks, and those of them that avoid some machines for now. */
+  waitingJobs: number;
+  avoidingJobs: Job[];
   /** Sum over the jobs of what one task needs. */
   needed: Capacity;
 }
@@ -45,6 +69,8 @@
 const MAX_PRIORITY: Priority = 3;
 /** Tolerance for sums of fractional CPUs, GPUs and GB. */
 const ROUNDING_TOLERANCE = 1e-6;
+/** With more jobs that avoid machines, a class is taken to have a job for each machine. */
+const MAX_AVOIDING_JOBS = 8;
 /** Number of tasks that fit if a task needs none of the resource; greater than any real count. */
 const UNLIMITED_TASKS = 1e6;
 
@@ -53,6 +79,7 @@
   /** The lowest priority among the classes. */
   lowestPriority = 0;
   private profiles: ClassProfile[] = [];
+  private refreshedAt: Instant = LONG_AGO;
   private readonly values = new Map<string, number>();
   private readonly cheapestPrices = new Map<string, number>();
 
@@ -63,13 +90,10 @@
    * without waiting tasks, free capacity has a value only up to the number of tasks that are expected soon:
    * capacity kept free beyond that would be paid for and stay idle.
    */
-  refresh(
-    jobs: Iterable<Job>,
-    capacityIndex: CapacityIndex,
-    expectedTasks: (className: string) => number,
-    allowedTasks: (job: Job) => number,
-  ): void {
-    const totalsByClass = sumByClass(jobs, allowedTasks);
+  refresh(inputs: ClassValueInputs): void {
+    const { capacityIndex, expectedTasks } = inputs;
+    this.refreshedAt = inputs.now;
+    const totalsByClass = sumByClass(inputs);
     this.values.clear();
     this.lowestPriority = MAX_PRIORITY;
     this.profiles = [];
@@ -90,7 +114,8 @@
       const priority = isWaiting ? totals.waitingPriority : spec.priority;
       this.lowestPriority = Math.min(this.lowestPriority, priority);
       const { machineTypes: allowedTypes, spot } = spec;
-      this.profiles.push({ ...mean, allowedTypes, spot, priority, value: value * weight });
+      const avoidingJobs = totals.avoidingJobs.length < totals.waitingJobs ? [] : totals.avoidingJobs;
+      this.profiles.push({ ...mean, allowedTypes, spot, priority, value: value * weight, avoidingJobs });
     }
   }
 
@@ -112,19 +137,25 @@
   }
 
   /**
-   * The value of the capacity, on a machine of this type, to the class that values it most; classes below
-   * `minPriority` do not count.
+   * The value of the capacity to the class that values it most. Classes below `minPriority` do not count, nor
+   * do those whose waiting jobs all avoid the machine.
    */
-  valueOfCapacity(capacity: Capacity, type: MachineTypeName, spot: boolean, minPriority: number): number {
+  valueOfCapacity(capacity: Capacity, source: CapacitySource, minPriority: number): number {
     let best = 0;
     for (const profile of this.profiles) {
-      if (profile.priority < minPriority || (spot && !profile.spot)) continue;
-      if (profile.allowedTypes !== null && !profile.allowedTypes.includes(type)) continue;
+      if (profile.priority < minPriority || (source.spot && !profile.spot)) continue;
+      if (profile.allowedTypes !== null && !profile.allowedTypes.includes(source.type.name)) continue;
+      if (this.isAvoided(source, profile)) continue;
       best = Math.max(best, tasksFitting(capacity, profile) * profile.value);
     }
     return best;
   }
 
+  private isAvoided({ id }: CapacitySource, { avoidingJobs }: ClassProfile): boolean {
+    if (id === undefined || avoidingJobs.length === 0) return false;
+    return avoidingJobs.every((job) => job.failures.avoids(id, this.refreshedAt));
+  }
+
   private cheapestPriceOfTask(needed: Capacity, allowedTypes: MachineTypeName[] | null): number {
     let lowest = Number.POSITIVE_INFINITY;
     for (const type of this.types.values()) {
@@ -149,7 +180,7 @@
   }
 }
 
-function sumByClass(jobs: Iterable<Job>, allowedTasks: (job: Job) => number): Map<string, ClassTotals> {
+function sumByClass({ now, jobs, allowedTasks }: ClassValueInputs): Map<string, ClassTotals> {
   const totalsByClass = new Map<string, ClassTotals>();
   for (const job of jobs) {
     if (job.isCancelling) continue;
@@ -159,13 +190,15 @@
       jobs: 0,
       waitingTasks: 0,
       waitingPriority: 0,
+      waitingJobs: 0,
+      avoidingJobs: [],
       needed: { cpus: 0, gpus: 0, memoryGb: 0 },
     };
     totals.jobs++;
-    // Tasks that their team's quota does not allow would not use the capacity.
-    const waiting = job.unplacedTasks === 0 ? 0 : Math.min(job.unplacedTasks, allowedTasks(job));
-    totals.waitingTasks += waiting;
-    if (waiting > 0) totals.waitingPriority = Math.max(totals.waitingPriority, job.priority);
+    // Tasks that back off or that their team's quota does not allow would not use the capacity.
+    const mayStart = job.unplacedTasks > 0 && now >= job.retryAt;
+    const waiting = mayStart ? Math.min(job.unplacedTasks, allowedTasks(job)) : 0;
+    if (waiting > 0) addWaitingJob(totals, job, waiting, now);
     totals.needed.cpus += spec.cpus;
     totals.needed.gpus += spec.gpus;
     totals.needed.memoryGb += spec.memoryGb;
@@ -174,6 +207,14 @@
   return totalsByClass;
 }
 
+function addWaitingJob(totals: ClassTotals, job: Job, waitingTasks: number, now: Instant): void {
+  totals.waitingTasks += waitingTasks;
+  totals.waitingPriority = Math.max(totals.waitingPriority, job.priority);
+  totals.waitingJobs++;
+  if (totals.avoidingJobs.length < MAX_AVOIDING_JOBS && job.failures.avoidsAny(now))
+    totals.avoidingJobs.push(job);
+}
+
 const meanOf = ({ needed, jobs }: ClassTotals): Capacity => ({
   cpus: needed.cpus / jobs,
   gpus: needed.gpus / jobs,
--- a/src/core/scheduling/gang-scheduler.ts
+++ b/src/core/scheduling/gang-scheduler.ts
@@ -104,7 +104,7 @@
     const slots: Slot[] = [];
     const added = new Set<Machine>();
     const addMachine = (machine: Machine): boolean => {
-      if (added.has(machine) || job.failedMachines.has(machine.id)) return false;
+      if (added.has(machine) || job.failures.avoids(machine.id, this.io.now)) return false;
       if (this.reservations.isReservedForOther(machine, job) || !hasCapacityAhead(machine, job)) return false;
       const score = this.binPacking.score(job, machine);
       if (!Number.isFinite(score)) return false;
--- a/src/core/scheduling/queued-task-return.ts
+++ b/src/core/scheduling/queued-task-return.ts
@@ -60,7 +60,7 @@
     const kind = placementKind(job.spec);
     if (this.unplaceable.covers(job, kind)) return false;
     const found = this.canStartOnOtherMachine(job, machine);
-    if (!found) this.unplaceable.add(job, kind);
+    if (!found && !job.failures.avoidsAny(this.io.now)) this.unplaceable.add(job, kind);
     return found;
   }
 
@@ -68,7 +68,8 @@
     let found = false;
     const examine = (other: Machine): void => {
       this.machinesExamined++;
-      found ||= other !== machine && hasCapacityAhead(other, job);
+      if (other === machine || job.failures.avoids(other.id, this.io.now)) return;
+      found ||= hasCapacityAhead(other, job);
     };
     for (const pool of this.capacityIndex.pools.values()) {
       if (!pool.admits(job.spec)) continue;
--- a/src/core/scheduling/reservations.ts
+++ b/src/core/scheduling/reservations.ts
@@ -111,7 +111,8 @@
     this.reservedByPool.clear();
     for (const [machine, { job, expiresAt }] of this.byMachine) {
       const isNeeded = !job.isOver && !job.isCancelling && job.waitingTasks > 0;
-      if (!isNeeded || machine.indexPosition === null || this.io.now >= expiresAt) {
+      const isOutdated = this.io.now >= expiresAt || job.failures.avoids(machine.id, this.io.now);
+      if (!isNeeded || isOutdated || machine.indexPosition === null) {
         this.release(machine);
         continue;
       }
@@ -167,7 +168,7 @@
         MACHINES_SAMPLED_PER_RESERVATION * missing,
         this.io.random,
         (machine) => {
-          if (this.byMachine.has(machine) || job.failedMachines.has(machine.id)) return;
+          if (this.byMachine.has(machine) || job.failures.avoids(machine.id, this.io.now)) return;
           const { availableInS, victims } = this.expectedCapacity(machine, job);
           if (availableInS > MAX_EXPECTED_WAIT_S) return;
           if (isLarge || victims.length > 0) candidates.push({ machine, pool, availableInS, victims });
--- a/src/core/scheduling/task-placement.ts
+++ b/src/core/scheduling/task-placement.ts
@@ -1,6 +1,5 @@
 // Join-below-threshold placement of a job's tasks: each task goes to a random one of the best machines with
 // free capacity, else to one of those whose queue is below the threshold, else it waits in the controller.
-import type { MachineId } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import { isGang } from '../jobs/placement-constraints.ts';
@@ -29,8 +28,6 @@
  * before any machine where the task would have to wait for running tasks to end.
  */
 const PREEMPTION_BONUS = 10;
-/** Machines on which a job failed are avoided only while there are fewer of them than this. */
-const MAX_AVOIDED_MACHINES = 3;
 /** Tolerance for sums of fractional CPUs. */
 const ROUNDING_TOLERANCE = 1e-9;
 
@@ -101,7 +98,7 @@
     const foundNoMachine = placed < limit && job.nextWaitingTask() >= 0;
     if (foundNoMachine) {
       if (mayReserve) this.reserve(job, allowed);
-      if (!isZoneBound && job.failedMachines.size === 0) this.unplaceable.add(job, kind);
+      if (!isZoneBound && !job.failures.avoidsAny(this.io.now)) this.unplaceable.add(job, kind);
     }
     return placed;
   }
@@ -150,12 +147,10 @@
 
   /** Picks at random among the best machines with free capacity, else the best queues below the threshold. */
   private chooseMachine(job: Job, isZoneBound: boolean): Machine | null {
-    // After failures on a few machines the job tries others; after failures on many it may use any again.
-    const avoided = job.failedMachines.size < MAX_AVOIDED_MACHINES ? job.failedMachines : null;
     const best = new LowestScores();
     const examine = (machine: Machine): void => {
       this.machinesExamined++;
-      if (avoided?.has(machine.id)) return;
+      if (job.failures.avoids(machine.id, this.io.now)) return;
       if (this.reservations.isReservedForOther(machine, job) || !hasCapacityAhead(machine, job)) return;
       best.offer(machine, this.binPacking.score(job, machine));
     };
@@ -166,7 +161,7 @@
     for (const machine of this.reservations.machinesFor(job))
       if (!isZoneBound || isZoneAllowed(job, machine.zone, job.tasksByZone)) examine(machine);
     if (best.machines.length > 0) return this.pickRandom(best.machines);
-    return this.chooseQueueBelowThreshold(job, pools, avoided);
+    return this.chooseQueueBelowThreshold(job, pools);
   }
 
   /** Examines a sample of each bucket that may have capacity; returns the pools that the job may use. */
@@ -207,11 +202,7 @@
     }
   }
 
-  private chooseQueueBelowThreshold(
-    job: Job,
-    pools: MachinePool[],
-    avoided: ReadonlySet<MachineId> | null,
-  ): Machine | null {
+  private chooseQueueBelowThreshold(job: Job, pools: MachinePool[]): Machine | null {
     const best = new LowestScores();
     for (const pool of pools) {
       if (this.binPacking.isWasteful(job, pool)) continue;
@@ -220,11 +211,12 @@
       const sampleSize = isUrgent ? QUEUES_SAMPLED_PER_POOL_IF_URGENT : QUEUES_SAMPLED_PER_POOL;
       sampleFrom(pool.schedulableMachines, sampleSize, this.io.random, (machine) => {
         this.machinesExamined++;
-        if (machine.queue.length >= this.threshold || avoided?.has(machine.id)) return;
+        if (machine.queue.length >= this.threshold || job.failures.avoids(machine.id, this.io.now)) return;
         if (this.reservations.isReservedForOther(machine, job) || hasCapacityAhead(machine, job)) return;
         // By preempting less urgent tasks the task starts sooner than by waiting for running tasks to end.
         const canPreempt = isUrgent && this.preemption.findVictims(machine, job) !== null;
-        best.offer(machine, canPreempt ? score - PREEMPTION_BONUS : score);
+        const penalty = this.binPacking.failurePenalty(job, machine);
+        best.offer(machine, penalty + (canPreempt ? score - PREEMPTION_BONUS : score));
       });
     }
     return this.pickRandom(best.machines);
--- a/src/core/scheduling/waiting-job-report.ts
+++ b/src/core/scheduling/waiting-job-report.ts
@@ -20,7 +20,7 @@
 /** Numbers of the examined machines with room for the job, by what keeps the job from using them. */
 interface MachineCounts {
   withRoom: number;
-  /** The job has failed there. */
+  /** The job has failed there and tries other machines for now. */
   avoided: number;
   /** Reserved for another job. */
   reserved: number;
@@ -97,9 +97,9 @@
   }
 
   private countMachine(machine: Machine, job: Job, counts: MachineCounts): void {
-    const { binPacking, reservations, neededMachines } = this.dependencies;
+    const { io, binPacking, reservations, neededMachines } = this.dependencies;
     counts.withRoom++;
-    if (job.failedMachines.has(machine.id)) counts.avoided++;
+    if (job.failures.avoids(machine.id, io.now)) counts.avoided++;
     if (reservations.isReservedForOther(machine, job)) counts.reserved++;
     if (!Number.isFinite(binPacking.score(job, machine))) counts.worthMore++;
     if (neededMachines.has(machine.id)) counts.planned++;
