Provide machines for a job that three machines failed

A job that had failed on three machines got no new machines. Once those three were gone (cordoned, taken back, released as idle), it was not tried again at all: `pending` until its user cancelled it. An accepted job must run.

Cause: the plan for new machines left out every job with three failed machines since its last success, for good, while placement lets such a job use any machine after a back-off. Where no machine is left, it cannot succeed and so never got out of that state. The purpose, not to rent machines for a job that was submitted with a mistake, needs less.

Change: the plan provides for one task of such a job, as one attempt tells whether it still fails; for a whole gang, as it starts as a whole.

Why it works: demand for one attempt never ends, so there is always a machine to try; a success clears the failures, and the whole job is planned again.

--- a/src/core/autoscaling/demand-planner.ts
+++ b/src/core/autoscaling/demand-planner.ts
@@ -59,10 +59,7 @@
     const { offers, backoff, scaleOut, neededMachines } = this;
     const plan = new CapacityPlan({ supply, offers, backoff, scaleOut, neededMachines });
     const plannedByTeam = new Map<TeamName, TeamUsage>();
-    for (const job of this.unplacedJobs()) {
-      const unplaced = job.waitingTasks + job.queuedTasks;
-      plan.provideForJob(job, Math.min(unplaced, this.tasksWithinQuota(job, plannedByTeam)));
-    }
+    for (const job of this.unplacedJobs()) plan.provideForJob(job, this.tasksToPlan(job, plannedByTeam));
     const readyS = (job: Job): number => readyTimeS(this.types.values(), job.spec);
     for (const requirement of this.spareCapacity.requirements(readyS)) plan.provideSpareCapacity(requirement);
     return plan.requests;
@@ -73,9 +70,7 @@
    * with more GPUs, then gangs; after that, the one ready the longest.
    */
   private unplacedJobs(): Job[] {
-    const jobs = [...this.jobs.openJobs.values()].filter(
-      (job) => !job.isCancelling && job.unplacedTasks > 0 && !job.failures.isJobFaulty(this.io.now),
-    );
+    const jobs = [...this.jobs.openJobs.values()].filter((job) => !job.isCancelling && job.unplacedTasks > 0);
     return jobs.sort(
       (a, b) =>
         b.priority - a.priority ||
@@ -86,14 +81,25 @@
   }
 
   /**
-   * The number of the job's tasks that its team's quota allows in addition to the tasks already planned for
-   * the team. Near the limit, each job of a team may fit the quota by itself although all of them together do
-   * not.
+   * The number of the job's waiting and queued tasks to provide capacity for. A job that fails everywhere
+   * gets capacity for one attempt: it must not wait for ever once its machines are gone, nor must all the
+   * machines be rented that it would need if it did not fail.
+   */
+  private tasksToPlan(job: Job, plannedByTeam: Map<TeamName, TeamUsage>): number {
+    const isFaulty = job.failures.isJobFaulty(this.io.now);
+    const attemptTasks = isFaulty && !isGang(job.spec) ? 1 : job.unplacedTasks;
+    return Math.min(attemptTasks, this.tasksWithinQuota(job, plannedByTeam, attemptTasks));
+  }
+
+  /**
+   * The number of the job's tasks, with at most `maxWaiting` waiting ones, that its team's quota allows in
+   * addition to the tasks already planned for the team. Near the limit, each job of a team may fit the quota
+   * by itself although all of them together do not.
    */
-  private tasksWithinQuota(job: Job, plannedByTeam: Map<TeamName, TeamUsage>): number {
+  private tasksWithinQuota(job: Job, plannedByTeam: Map<TeamName, TeamUsage>, maxWaiting: number): number {
     const { team, cpus, gpus } = job.spec;
     const planned = plannedByTeam.get(team) ?? { cpus: 0, gpus: 0 };
-    const tasks = Math.min(job.waitingTasks, this.quota.allowedTasks(job, planned));
+    const tasks = Math.min(job.waitingTasks, maxWaiting, this.quota.allowedTasks(job, planned));
     plannedByTeam.set(team, { cpus: planned.cpus + cpus * tasks, gpus: planned.gpus + gpus * tasks });
     return tasks + job.queuedTasks;
   }
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -215,7 +215,7 @@
     machine.consecutiveFailures++;
     const waitMs = job.failures.backoffMs(now);
     job.retryAt = addMs(now, waitMs);
-    this.dequeueAvoiding(machine, job);
+    this.dequeueJob(machine, job);
     this.io.log('info', 'task failed', {
       machine: machine.id,
       task: taskId(job.id, index),
@@ -226,9 +226,8 @@
       this.updater.cordon(machine, CordonReason.failingTasks);
   }
 
-  /** Removes the job's other tasks from the machine's queue if the job now avoids the machine. */
-  private dequeueAvoiding(machine: Machine, job: Job): void {
-    if (!job.failures.avoids(machine.id, this.io.now)) return;
+  /** Removes the job's tasks from the queue of a machine that it now avoids, or while it backs off. */
+  private dequeueJob(machine: Machine, job: Job): void {
     for (const queued of [...machine.queue])
       if (queued.job === job) this.assignments.dequeue(machine, queued);
   }
--- a/test/failing-machines.test.ts
+++ b/test/failing-machines.test.ts
@@ -22,6 +22,8 @@
 const NORTH = 'north' as ZoneName;
 /** No job may wait longer than this beside a machine with room, in seconds. */
 const MAX_WAIT_S = 90;
+/** The longest time between two attempts of a job that fails everywhere, in seconds. */
+const BACKOFF_S = 20;
 /** CPUs of a machine. */
 const WHOLE_MACHINE = 8;
 
@@ -45,6 +47,12 @@
   for (const worker of world.workers.values()) worker.faulty = faulty;
 };
 
+/** Every machine, also those that are yet to come, fails every task from now on. */
+function failEverywhere(world: SimulatedWorld): void {
+  setFaulty(world, true);
+  world.after(50, () => failEverywhere(world));
+}
+
 /** Tasks of the job fail on every machine, as if it had been submitted with a mistake. */
 function failJob(world: SimulatedWorld, id: string): void {
   const launch = world.launch.bind(world);
@@ -54,13 +62,13 @@
   };
 }
 
-/** Number of machines on which tasks of the job were started and failed. */
-const failureCount = (world: SimulatedWorld, id: string): number =>
-  new Set(
-    world.logs
-      .filter((line) => line.includes(' task failed ') && line.includes(`"task":"${id}/`))
-      .map((line) => /"machine":"([^"]*)"/.exec(line)?.[1]),
-  ).size;
+/** The controllers' log lines about failed tasks of the job. */
+const failures = (world: SimulatedWorld, id: string): string[] =>
+  world.logs.filter((line) => line.includes(' task failed ') && line.includes(`"task":"${id}/`));
+
+/** The machines on which tasks of the job have failed. */
+const failedMachines = (world: SimulatedWorld, id: string): Set<string | undefined> =>
+  new Set(failures(world, id).map((line) => /"machine":"([^"]*)"/.exec(line)?.[1]));
 
 /** All machines run tasks again; the job must be done before it has waited too long beside them. */
 function assertDoneAfterRecovery({ world, checks }: Fleet, id: string): void {
@@ -89,7 +97,7 @@
     const fleet = fleetOf(2);
     setFaulty(fleet.world, true);
     fleet.world.submit(job('run-1', { cpus: WHOLE_MACHINE }));
-    assert.ok(fleet.world.until(() => failureCount(fleet.world, 'run-1') === 2, 10));
+    assert.ok(fleet.world.until(() => failedMachines(fleet.world, 'run-1').size === 2, 10));
     assertDoneAfterRecovery(fleet, 'run-1');
   });
 
@@ -101,7 +109,7 @@
       const cpus = machines === 1 ? WHOLE_MACHINE / 2 : WHOLE_MACHINE;
       fleet.world.submit(job('run-1', { kind: 'gang', tasks: Math.max(2, machines), cpus }));
       fleet.world.run(10);
-      assert.ok(failureCount(fleet.world, 'run-1') > 0);
+      assert.ok(failedMachines(fleet.world, 'run-1').size > 0);
       assertDoneAfterRecovery(fleet, 'run-1');
     });
 
@@ -112,7 +120,7 @@
     world.runS = 2;
     world.submit(job('run-1', { tasks: 2, cpus: WHOLE_MACHINE }));
     world.onTaskDone = () => setFaulty(world, true);
-    assert.ok(world.until(() => failureCount(world, 'run-1') === 1, 20));
+    assert.ok(world.until(() => failedMachines(world, 'run-1').size === 1, 20));
     world.onTaskDone = null;
     assertDoneAfterRecovery(fleet, 'run-1');
   });
@@ -135,7 +143,7 @@
     const { world } = fleet;
     setFaulty(world, true);
     world.submit(job('run-1'));
-    assert.ok(world.until(() => failureCount(world, 'run-1') === 2, 10));
+    assert.ok(world.until(() => failedMachines(world, 'run-1').size === 2, 10));
     const [first] = world.workers.values();
     world.cloud.capacity = 1;
     first!.terminate();
@@ -176,7 +184,7 @@
     const { world } = fleetOf(1, 3);
     setFaulty(world, true);
     world.submit(job('run-1'));
-    assert.ok(world.until(() => failureCount(world, 'run-1') === 1, 10));
+    assert.ok(world.until(() => failedMachines(world, 'run-1').size === 1, 10));
     setFaulty(world, false);
     const [first] = world.workers.values();
     const before = first!.starts;
@@ -184,6 +192,24 @@
     assert.ok(world.until(() => world.isDoneInStore('run-2'), 120));
     assert.equal(first!.starts, before + 1);
   });
+
+  // No machine was requested for a job that three machines had failed, so that it waited for ever without them.
+  for (const kind of ['array', 'gang', 'service'] as const)
+    it(`when three machines failed it and none is left (${kind})`, () => {
+      const { world, checks } = fleetOf(3);
+      setFaulty(world, true);
+      world.submit(job('run-1', { kind, tasks: kind === 'gang' ? 3 : 1, cpus: WHOLE_MACHINE }));
+      assert.ok(world.until(() => failedMachines(world, 'run-1').size === 3, 40));
+      for (const worker of [...world.workers.values()]) {
+        worker.terminate();
+        world.workers.delete(worker.id);
+      }
+      checks.rules.onFaultsEnded(world.now);
+      const isServed = (): boolean =>
+        world.isDoneInStore('run-1') || (kind === 'service' && world.machinesRunning('run-1').length > 0);
+      assert.ok(world.until(isServed, MAX_WAIT_S), 'the job runs on new machines');
+      checks.assertNoViolations();
+    });
 });
 
 describe('a machine that fails every task', () => {
@@ -210,7 +236,7 @@
     world.submit(job('run-1', { cpus: WHOLE_MACHINE / 2, tasks: 3 }));
     const [faulty] = world.workers.values();
     faulty!.faulty = true;
-    assert.ok(world.until(() => failureCount(world, 'run-1') > 0, 10));
+    assert.ok(world.until(() => failedMachines(world, 'run-1').size > 0, 10));
     const before = faulty!.starts;
     world.run(15);
     assert.equal(faulty!.starts, before);
@@ -218,6 +244,24 @@
 });
 
 describe('a job that fails on every machine', () => {
+  it('backs off, and is given one machine at a time', () => {
+    const { world } = fleetOf(0, 20);
+    failEverywhere(world);
+    world.submit(job('run-1', { tasks: 100, cpus: WHOLE_MACHINE }));
+    assert.ok(world.until(() => failedMachines(world, 'run-1').size >= 3, 60));
+    // The machines that were rented before it had failed on three of them are released.
+    world.run(180);
+    const before = { failures: failures(world, 'run-1').length, created: world.cloud.machinesCreated };
+    const minutes = 10;
+    world.run(60 * minutes);
+    const attempts = failures(world, 'run-1').length - before.failures;
+    assert.ok(attempts > 0, 'it is still tried');
+    assert.ok(attempts <= (60 * minutes) / BACKOFF_S, `${attempts} attempts`);
+    const created = world.cloud.machinesCreated - before.created;
+    assert.ok(created <= 1, `${created} machines rented`);
+    assert.ok(world.workers.size <= 1, `${world.workers.size} machines kept`);
+  });
+
   // The machine was kept for the class of the failing job, whose tasks are worth more, and which avoided it.
   it('keeps no small job from the machine that it avoids', () => {
     const { world, checks } = fleetOf(1);
@@ -227,7 +271,7 @@
     // Makes the value of the small class known, some time after it is accepted.
     world.submit(job('run-9', { class: 'small', dependsOn: ['run-1' as JobId] }));
     world.run(5);
-    assert.equal(failureCount(world, 'run-1'), 1);
+    assert.equal(failedMachines(world, 'run-1').size, 1);
     world.submit(job('run-2', { class: 'small' }));
     assert.ok(
       world.until(() => world.isDoneInStore('run-2'), MAX_WAIT_S),
