Name what the plan keeps; use the shared sample size in the report

Since the plan keeps machines that a waiting job avoids, "uses" and "counts as capacity" no longer described neededMachines and the field `planned` of the new log line; the texts say so now. WaitingJobReport had a constant of its own for the number of machines taken from a bucket; it uses that of capacity-search.ts, with the same value.

--- a/src/core/autoscaling/autoscaler.ts
+++ b/src/core/autoscaling/autoscaler.ts
@@ -101,7 +101,7 @@
     return this.supplyForecast.pendingCapacity;
   }
 
-  /** Machines whose capacity the last plan uses; the set is updated by each plan. */
+  /** Machines that the last plan keeps; the set is updated by each plan. */
   get neededMachines(): ReadonlySet<MachineId> {
     return this.planner.neededMachines;
   }
--- a/src/core/autoscaling/demand-planner.ts
+++ b/src/core/autoscaling/demand-planner.ts
@@ -28,7 +28,7 @@
 
 /** Builds a capacity plan from the current demand and supply. */
 export class DemandPlanner {
-  /** Machines whose capacity the last plan uses; they are not released. */
+  /** Machines whose capacity the last plan uses, or that a waiting job avoids for now; they are not released. */
   readonly neededMachines = new Set<MachineId>();
   private readonly io: ControllerIo;
   private readonly jobs: JobTable;
--- a/src/core/scheduling/waiting-job-report.ts
+++ b/src/core/scheduling/waiting-job-report.ts
@@ -7,14 +7,13 @@
 import { hasCapacityAhead, type Machine } from '../machines/machine.ts';
 import type { Quota } from '../teams/quota.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
-import { bucketMayFit } from './capacity-search.ts';
+import { bucketMayFit, MACHINES_SAMPLED_PER_BUCKET } from './capacity-search.ts';
 import type { Reservations } from './reservations.ts';
 
 const REPORT_INTERVAL_MS: Millis = 10_000;
 /** Jobs that have waited for less than this are not reported. */
 const MIN_WAIT_MS: Millis = 10_000;
-/** Machines examined in each bucket of the capacity index, and in all for one report. */
-const MACHINES_EXAMINED_PER_BUCKET = 3;
+/** Machines examined for one report. */
 const MAX_MACHINES_EXAMINED = 100;
 
 /** Numbers of the examined machines with room for the job, by what keeps the job from using them. */
@@ -26,7 +25,7 @@
   reserved: number;
   /** Worth too much more to other work. */
   worthMore: number;
-  /** Counted as capacity by the last plan of the autoscaler, which then requests no other machine. */
+  /** Kept by the last plan of the autoscaler: used for some job, or avoided for now by a job that waits. */
   planned: number;
 }
 
@@ -38,7 +37,7 @@
   quota: Quota;
   binPacking: BinPackingScorer;
   reservations: Reservations;
-  /** Machines whose capacity the last plan of the autoscaler uses. */
+  /** Machines that the last plan of the autoscaler keeps. */
   neededMachines: ReadonlySet<MachineId>;
 }
 
@@ -92,7 +91,7 @@
     for (const pool of this.dependencies.capacityIndex.pools.values()) {
       if (!pool.admits(job.spec)) continue;
       for (const bucket of pool.buckets.values())
-        if (bucketMayFit(bucket, job.spec)) yield* bucket.members.slice(0, MACHINES_EXAMINED_PER_BUCKET);
+        if (bucketMayFit(bucket, job.spec)) yield* bucket.members.slice(0, MACHINES_SAMPLED_PER_BUCKET);
     }
   }
 
