Log which field of a heartbeat or a reply is invalid

Hypotheses that had to be told apart: the attempt numbers are out of range; the fencing token or the store's revision is; a repeated attempt number makes the leader drop what completed; the new leader cannot write.

Replies that could not be read looked like lost ones until now.

--- a/src/protocol/http-call.ts
+++ b/src/protocol/http-call.ts
@@ -18,16 +18,21 @@
 /** No valid response: it is unknown whether the request was executed or still will be. */
 export type NoAnswer = { kind: 'no-answer' };
 
-/** Decodes a response. A missing response (null) or one that cannot be decoded gives `no-answer`. */
+/**
+ * Decodes a response. A missing response (null) or one that cannot be decoded gives `no-answer`; the error of
+ * the latter is passed to `onInvalid`.
+ */
 export function decodeReply<T>(
   reply: HttpReply | null,
   decode: (status: number, json: unknown) => T,
+  onInvalid: (error: unknown) => void = () => {},
 ): T | NoAnswer {
   if (reply === null) return { kind: 'no-answer' };
   try {
     const { status, body } = reply;
     return decode(status, body.length === 0 ? {} : JSON.parse(body.toString('utf8')));
-  } catch {
+  } catch (error) {
+    onInvalid(error);
     return { kind: 'no-answer' };
   }
 }
--- a/src/runtime/controller-process.ts
+++ b/src/runtime/controller-process.ts
@@ -9,6 +9,7 @@
 import type { Instant, WallTime } from '../types/index.ts';
 import { EffectExecutor } from './effect-executor.ts';
 import { HeapGovernor } from './heap-governor.ts';
+import { InvalidMessageLog } from './invalid-message-log.ts';
 import type { Log } from './log.ts';
 import { LoopDelay } from './loop-delay.ts';
 import { PeerLinks } from './peer-links.ts';
@@ -42,6 +43,7 @@
 export class ControllerProcess {
   private readonly core: Controller;
   private readonly log: Log;
+  private readonly invalidMessages: InvalidMessageLog;
   private readonly queue = new WorkQueue();
   private readonly heap: HeapGovernor;
   private readonly responses = new PendingResponses();
@@ -54,6 +56,7 @@
     { scheduler, seed, log }: RunOptions,
   ) {
     this.log = log;
+    this.invalidMessages = new InvalidMessageLog(log);
     this.heap = new HeapGovernor(settings.ramMb);
     this.core = new Controller(settings, scheduler, seededRandom(seed));
     this.effects = new EffectExecutor({
@@ -63,6 +66,7 @@
       peers: this.connectPeers(),
       step: (input) => this.step(input),
       log,
+      invalidMessages: this.invalidMessages,
     });
     this.listen();
     this.loopDelay = new LoopDelay(TICK_INTERVAL_MS, performance.now());
@@ -91,6 +95,7 @@
       step: (input) => this.step(input),
       processStatus: () => this.processStatus(),
       log: this.log,
+      invalidMessages: this.invalidMessages,
     });
     const maxConnections = Math.floor(sockets * SERVED_SOCKETS_FRACTION) - RESERVED_SOCKETS;
     const { server } = serveHttp({
--- a/src/runtime/effect-executor.ts
+++ b/src/runtime/effect-executor.ts
@@ -8,6 +8,7 @@
 import { decodeStoreReply, encodeStoreRequest } from '../protocol/store.ts';
 import { encodeUserResponse } from '../protocol/user-response.ts';
 import { encodeCommands, encodeHeartbeatResponse, parseHeartbeat } from '../protocol/worker.ts';
+import type { InvalidMessageLog, MessageSource } from './invalid-message-log.ts';
 import type { Log } from './log.ts';
 import type { PeerLinks } from './peer-links.ts';
 import type { PendingResponses } from './pending-responses.ts';
@@ -23,6 +24,7 @@
   /** Feeds a reply to the core. */
   step: (input: Input) => void;
   log: Log;
+  invalidMessages: InvalidMessageLog;
 }
 
 const MAX_REPLY_BYTES = 64 * 1024 * 1024;
@@ -72,8 +74,10 @@
 
   private callStore({ tag, request, timeoutMs }: EffectOf<'store'>): void {
     this.storeClient(request).call({ ...encodeStoreRequest(request), timeoutMs }, (response) => {
-      const reply = decodeReply<StoreReply>(response, (status, json) =>
-        decodeStoreReply(request, status, json),
+      const reply = decodeReply<StoreReply>(
+        response,
+        (status, json) => decodeStoreReply(request, status, json),
+        this.onInvalid('store reply'),
       );
       this.dependencies.step({ kind: 'store', tag, reply });
     });
@@ -94,19 +98,25 @@
 
   private callCloud({ tag, request, timeoutMs }: EffectOf<'cloud'>): void {
     this.cloud.call({ ...encodeCloudRequest(request), timeoutMs }, (response) => {
-      const reply = decodeReply<CloudReply>(response, (status, json) =>
-        decodeCloudReply(request, status, json),
+      const reply = decodeReply<CloudReply>(
+        response,
+        (status, json) => decodeCloudReply(request, status, json),
+        this.onInvalid('cloud reply'),
       );
       this.dependencies.step({ kind: 'cloud', tag, reply });
     });
   }
 
+  private onInvalid(source: MessageSource): (error: unknown) => void {
+    return (error) => this.dependencies.invalidMessages.record(source, error);
+  }
+
   /** Raises a machine's fencing token without sending commands; the response contains its heartbeat. */
   private probe({ tag, addr, fencingToken, agentEpoch, timeoutMs }: EffectOf<'probe'>): void {
     const client = new HttpClient(addr, 1, MAX_REPLY_BYTES);
     const body = encodeCommands(fencingToken, [], agentEpoch);
     client.call({ method: 'POST', path: '/orders', body, timeoutMs }, (response) => {
-      const reply = decodeReply<WorkerReply>(response, decodeProbeReply);
+      const reply = decodeReply<WorkerReply>(response, decodeProbeReply, this.onInvalid('worker reply'));
       client.close();
       this.dependencies.step({ kind: 'worker', tag, reply });
     });
--- a/src/runtime/request-router.ts
+++ b/src/runtime/request-router.ts
@@ -1,6 +1,6 @@
 // Routes HTTP requests of workers, users and operators to the core.
 import type { Input } from '../core/base/io.ts';
-import type { UserRequest, UserResponse } from '../core/base/model.ts';
+import type { Heartbeat, UserRequest, UserResponse } from '../core/base/model.ts';
 import type { HttpMessage } from '../http/parser.ts';
 import type { Respond } from '../http/server.ts';
 import { isJobId, parseJob } from '../protocol/job.ts';
@@ -8,6 +8,7 @@
 import { encodeUserResponse, errorResponse } from '../protocol/user-response.ts';
 import { parseHeartbeat } from '../protocol/worker.ts';
 import type { JobId } from '../types/index.ts';
+import type { InvalidMessageLog } from './invalid-message-log.ts';
 import type { Log } from './log.ts';
 import type { PendingResponses } from './pending-responses.ts';
 
@@ -32,6 +33,7 @@
   /** Measurements of the process, for operators. */
   processStatus: () => object;
   log: Log;
+  invalidMessages: InvalidMessageLog;
 }
 
 type JobRequest = Exclude<UserRequest, { op: 'submit' }>;
@@ -105,10 +107,20 @@
 
   private onHeartbeat(request: HttpMessage, respond: Respond): void {
     const { responses, step } = this.dependencies;
-    const heartbeat = parseHeartbeat(parseBody(request.body));
+    const heartbeat = this.decodeHeartbeat(request.body);
     step({ kind: 'heartbeat', requestId: responses.add(respond), heartbeat });
   }
 
+  /** Decodes a heartbeat; an invalid one is logged, as its worker cannot do more than repeat it. */
+  private decodeHeartbeat(body: Buffer): Heartbeat {
+    try {
+      return parseHeartbeat(parseBody(body));
+    } catch (error) {
+      this.dependencies.invalidMessages.record('worker heartbeat', error);
+      throw error;
+    }
+  }
+
   private onSubmit(request: HttpMessage, respond: Respond): void {
     if (this.rejectsUnderLoad('submit', respond)) return;
     const spec = parseJob(parseBody(request.body));
