--- a/packages/local-cluster/src/cluster-storage.ts
+++ b/packages/local-cluster/src/cluster-storage.ts
@@ -2,6 +2,9 @@
 // completed tasks. A request is answered only once its changes are on disk, so that after a kill the
 // restarted cluster has every change that its controllers had confirmed.
 import { ClassicLevel } from 'classic-level';
+import { parseUint64 } from '../../../src/protocol/service-side.ts';
+import { parseJson, stringifyJson } from '../../../src/types/exact-json.ts';
+import type { Revision, StoreLeaseId } from '../../../src/types/index.ts';
 import type { FakeStore, StoreChange, StoredEntry } from './fake-store.ts';
 import type { JobDescription } from './task-run.ts';
 
@@ -18,6 +21,9 @@
 const RESERVED_MACHINE_NUMBERS_KEY = 'm/made';
 const MACHINE_NUMBERS_PER_RESERVATION = 1000;
 
+/** Values on disk: JSON, as earlier versions write it, with integers above 2^53 kept exactly. */
+const EXACT_JSON = { name: 'json', format: 'utf8', encode: stringifyJson, decode: parseJson } as const;
+
 /** Jobs and completed tasks recorded by earlier runs of the cluster. */
 export interface RecordedWork {
   /** Job ids with the descriptions that their users sent. */
@@ -43,7 +49,7 @@
    * answered.
    */
   static async open(dir: string, onError: (error: Error) => void): Promise<ClusterStorage> {
-    const database = new ClassicLevel<string, unknown>(dir, { valueEncoding: 'json' });
+    const database = new ClassicLevel<string, unknown>(dir, { valueEncoding: EXACT_JSON });
     await database.open();
     return new ClusterStorage(database, onError);
   }
@@ -51,13 +57,13 @@
   /** Loads the store from disk, and records all later changes of it. */
   async attach(store: FakeStore): Promise<void> {
     const entries: [string, StoredEntry][] = [];
-    const leases: [number, number][] = [];
+    const leases: [StoreLeaseId, number][] = [];
     for await (const [key, value] of this.records(STORE_KEY_PREFIX))
       entries.push([key, value as StoredEntry]);
     for await (const [id, ttlMs] of this.records(LEASE_KEY_PREFIX))
-      leases.push([Number(id), ttlMs as number]);
-    const revision = await this.readNumber(STORE_REVISION_KEY);
-    store.restore(revision, entries, leases);
+      leases.push([parseUint64(id, 'a lease') as StoreLeaseId, ttlMs as number]);
+    const revision = (await this.database.get(STORE_REVISION_KEY)) as Revision | undefined;
+    store.restore(revision ?? (0 as Revision), entries, leases);
     store.onChange = (change) => this.recordChange(change);
   }
 
--- a/packages/local-cluster/src/fake-store.ts
+++ b/packages/local-cluster/src/fake-store.ts
@@ -1,7 +1,9 @@
 // A stand-in for the key-value store: revisions, compare-and-swap, leases, watches, and faults that tests
 // inject.
 import type { StoreItem, StoreReply, StoreRequest } from '../../../src/core/base/model.ts';
+import { stringifyJson } from '../../../src/types/exact-json.ts';
 import type { Revision, StoreLeaseId } from '../../../src/types/index.ts';
+import { largerOf, successor } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 import { StoreWatches, type Watch, type WatchedStore, type WatchRequest } from './store-watches.ts';
 
@@ -9,9 +11,9 @@
 export interface StoredEntry {
   value: unknown;
   /** Revision of the change that wrote it. */
-  revision: number;
+  revision: Revision;
   /** Id of the lease at whose end it is deleted; null without one. */
-  hold: number | null;
+  hold: StoreLeaseId | null;
 }
 
 /**
@@ -19,8 +21,8 @@
  * if it has ended).
  */
 export type StoreChange =
-  | { key: string; entry: StoredEntry | null; revision: number }
-  | { lease: number; ttlMs: number | null };
+  | { key: string; entry: StoredEntry | null; revision: Revision }
+  | { lease: StoreLeaseId; ttlMs: number | null };
 
 type CompareAndSwap = Extract<StoreRequest, { kind: 'compare-and-swap' }>;
 type Respond = (reply: StoreReply) => void;
@@ -42,7 +44,7 @@
   /** All entries, by key. */
   readonly entries = new Map<string, StoredEntry>();
   /** Revision of the newest change. */
-  revision = 0;
+  revision = 0 as Revision;
   /** Whether the store is in an outage: every request is refused. */
   down = false;
   /** Nodes whose requests are refused while the store serves the others. */
@@ -79,8 +81,8 @@
   /** Sequence number of the newest undelayed transaction, by node. */
   private readonly newestByNode = new Map<string, number>();
   private transactionCount = 0;
-  private readonly leases = new Map<number, Lease>();
-  private nextLeaseId = 1;
+  private readonly leases = new Map<StoreLeaseId, Lease>();
+  private nextLeaseId = 1 as StoreLeaseId;
   private readonly watches = new StoreWatches(this);
 
   constructor(private readonly clock: SimulationClock) {}
@@ -100,16 +102,16 @@
    * watches from older revisions get the reply `too-old`.
    */
   restore(
-    revision: number,
+    revision: Revision,
     entries: Iterable<[string, StoredEntry]>,
-    leases: Iterable<[number, number]>,
+    leases: Iterable<[StoreLeaseId, number]>,
   ): void {
     this.revision = revision;
     this.watches.beginAfter(revision);
     for (const [key, entry] of entries) this.entries.set(key, entry);
     for (const [id, ttlMs] of leases) {
       this.leases.set(id, { ttlMs, expiresAt: this.clock.now + ttlMs });
-      this.nextLeaseId = Math.max(this.nextLeaseId, id + 1);
+      this.nextLeaseId = largerOf(this.nextLeaseId, successor(id) as StoreLeaseId);
       this.checkExpiryAfter(ttlMs);
     }
   }
@@ -209,7 +211,7 @@
 
   private item(key: string): StoreItem {
     const entry = this.entries.get(key)!;
-    return { key, value: structuredClone(entry.value), revision: entry.revision as Revision };
+    return { key, value: structuredClone(entry.value), revision: entry.revision };
   }
 
   private list(prefix: string, after: string | null): StoreReply {
@@ -220,7 +222,7 @@
       kind: 'items',
       items: keys.map((key) => this.item(key)),
       more: false,
-      revision: this.revision as Revision,
+      revision: this.revision,
     };
   }
 
@@ -234,19 +236,25 @@
     if (request.puts.some(({ lease }) => lease !== undefined && !this.leases.has(lease)))
       return { kind: 'rejected', reason: 'no such lease' };
     this.apply(request);
-    return { kind: 'committed', revision: this.revision as Revision };
+    return { kind: 'committed', revision: this.revision };
   }
 
   private limitViolation({ puts, deletes }: CompareAndSwap): string | null {
     const { limits } = this;
     if (limits === null) return null;
     if (puts.length + deletes.length > limits.txnOps) return 'too many operations';
-    const isTooLarge = puts.some(({ value }) => JSON.stringify(value).length > limits.valueBytes);
+    const isTooLarge = puts.some(({ value }) => stringifyJson(value).length > limits.valueBytes);
     return isTooLarge ? 'the value is too large' : null;
   }
 
+  /** Counts a change, and returns its revision. */
+  advanceRevision(): Revision {
+    this.revision = successor(this.revision) as Revision;
+    return this.revision;
+  }
+
   private apply({ puts, deletes }: CompareAndSwap): void {
-    if (puts.length + deletes.length > 0) this.revision++;
+    if (puts.length + deletes.length > 0) this.advanceRevision();
     for (const { key, value, lease } of puts) {
       this.entries.set(key, { value: structuredClone(value), revision: this.revision, hold: lease ?? null });
       this.recordChange(key, this.item(key));
@@ -263,14 +271,15 @@
   // ---- leases
 
   private grantLease(ttlMs: number): StoreReply {
-    const id = this.nextLeaseId++;
+    const id = this.nextLeaseId;
+    this.nextLeaseId = successor(id) as StoreLeaseId;
     this.leases.set(id, { ttlMs, expiresAt: this.clock.now + ttlMs });
     this.onChange?.({ lease: id, ttlMs });
     this.checkExpiryAfter(ttlMs);
-    return { kind: 'lease-granted', lease: id as StoreLeaseId };
+    return { kind: 'lease-granted', lease: id };
   }
 
-  private renewLease(id: number): StoreReply {
+  private renewLease(id: StoreLeaseId): StoreReply {
     const lease = this.leases.get(id);
     if (lease === undefined) return { kind: 'missing' };
     lease.expiresAt = this.clock.now + lease.ttlMs;
@@ -278,12 +287,12 @@
     return { kind: 'ok' };
   }
 
-  private endLease(id: number): void {
+  private endLease(id: StoreLeaseId): void {
     if (this.leases.delete(id)) this.onChange?.({ lease: id, ttlMs: null });
     for (const [key, { hold }] of this.entries) {
       if (hold !== id) continue;
       this.entries.delete(key);
-      this.revision++;
+      this.advanceRevision();
       this.recordChange(key, null);
     }
   }
--- a/packages/local-cluster/src/fake-worker.ts
+++ b/packages/local-cluster/src/fake-worker.ts
@@ -8,6 +8,7 @@
   WorkerReply,
 } from '../../../src/core/base/model.ts';
 import type { FencingToken, MachineId, MachineTypeName, ZoneName } from '../../../src/types/index.ts';
+import { successor, type Uint64 } from '../../../src/types/uint64.ts';
 import type { EnvironmentOf } from './worker-environment.ts';
 import { type StopCommand, type TaskOwner, type WorkerTask, WorkerTasks } from './worker-tasks.ts';
 
@@ -31,7 +32,7 @@
 /** A heartbeat that was sent and has no response yet. */
 interface SentHeartbeat {
   readonly number: number;
-  readonly agentEpoch: number;
+  readonly agentEpoch: Uint64;
   readonly sentAt: number;
 }
 
@@ -50,11 +51,11 @@
 export class FakeWorker implements TaskOwner {
   addr: string;
   /** The agent epoch. */
-  agentEpoch = 1;
+  agentEpoch: Uint64 = 1;
   /** Sequence number of the last heartbeat. */
-  seq = 0;
+  seq: Uint64 = 0;
   /** The newest fencing token that it has received. */
-  fencingToken = 0;
+  fencingToken = 0 as FencingToken;
   /** Whether the machine has booted. */
   up = false;
   /** When it booted. */
@@ -205,7 +206,7 @@
     this.completedTasks.clear();
     this.agentEpoch = 1;
     this.seq = 0;
-    this.fencingToken = 0;
+    this.fencingToken = 0 as FencingToken;
     this.heartbeatNumber++;
     this.isAwaitingResponse = false;
     this.leaseRenewedAt = this.environment.now;
@@ -253,7 +254,7 @@
    * Kills all tasks after the lease has expired, as they may already run elsewhere, and begins a new epoch.
    */
   private beginEpoch(): void {
-    this.agentEpoch++;
+    this.agentEpoch = successor(this.agentEpoch);
     this.lostByLease += this.activeTasks().length;
     this.workerTasks.clear();
     this.leaseRenewedAt = this.environment.now;
@@ -264,7 +265,7 @@
 
   /** Returns the next heartbeat, and increments the sequence number. */
   nextHeartbeat(): Heartbeat {
-    this.seq++;
+    this.seq = successor(this.seq);
     return {
       machine: this.id,
       addr: this.addr,
@@ -273,7 +274,7 @@
       spot: this.spot,
       agentEpoch: this.agentEpoch,
       seq: this.seq,
-      fencingToken: this.fencingToken as FencingToken,
+      fencingToken: this.fencingToken,
       preemptionNoticeS: this.preemptionNoticeS,
       tasks: this.workerTasks.statuses(),
     };
@@ -312,7 +313,11 @@
     this.armTimer();
   }
 
-  private applyResponse({ sentAt }: SentHeartbeat, fencingToken: number, commands: readonly Command[]): void {
+  private applyResponse(
+    { sentAt }: SentHeartbeat,
+    fencingToken: FencingToken,
+    commands: readonly Command[],
+  ): void {
     this.adoptFencingToken(fencingToken);
     this.leaseRenewedAt = Math.max(this.leaseRenewedAt, sentAt);
     if (this.environment.now - sentAt > LATE_RESPONSE_MS) this.lateCommands += commands.length;
@@ -333,7 +338,7 @@
     this.hasUnreportedChanges = true;
   }
 
-  private adoptFencingToken(token: number): void {
+  private adoptFencingToken(token: FencingToken): void {
     if (token > this.fencingToken) this.hasUnreportedChanges = true;
     this.fencingToken = token;
   }
@@ -345,8 +350,8 @@
    * the fencing token is not older than the newest one received and the epoch is the current one.
    */
   handleCommands(
-    fencingToken: number,
-    agentEpoch: number,
+    fencingToken: FencingToken,
+    agentEpoch: Uint64,
     commands: Command[],
     respond: (reply: WorkerReply) => void,
   ): void {
--- a/packages/local-cluster/src/gang-coordinator.ts
+++ b/packages/local-cluster/src/gang-coordinator.ts
@@ -2,12 +2,13 @@
 // together, and after one is lost the others end.
 import type { ExitReason } from '../../../src/core/base/model.ts';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 
 /** A running attempt of a gang's task. */
 export interface GangMember {
   readonly task: TaskId;
-  readonly attempt: number;
+  readonly attempt: Uint64;
   /** Whether its command has exited with code 0. */
   readonly commandSucceeded: boolean;
   /** Starts the command. */
--- a/packages/local-cluster/src/json-server.ts
+++ b/packages/local-cluster/src/json-server.ts
@@ -2,6 +2,7 @@
 // 400.
 import { serveHttp } from '../../../src/http/server.ts';
 import { InvalidMessageError } from '../../../src/protocol/json-fields.ts';
+import { parseJson } from '../../../src/types/exact-json.ts';
 
 /** An HTTP response with a JSON body. */
 export interface JsonResponse {
@@ -72,7 +73,7 @@
 
 function handle(handler: RequestHandler, request: RawRequest, respond: Respond): void {
   try {
-    const body = request.body.length === 0 ? {} : JSON.parse(request.body.toString('utf8'));
+    const body = request.body.length === 0 ? {} : parseJson(request.body.toString('utf8'));
     handler(request.method, request.path, body, respond);
   } catch (error) {
     if (!(error instanceof InvalidMessageError) && !(error instanceof SyntaxError)) throw error;
--- a/packages/local-cluster/src/local-machines.ts
+++ b/packages/local-cluster/src/local-machines.ts
@@ -9,7 +9,9 @@
   decodeHeartbeatResponse,
   encodeHeartbeat,
 } from '../../../src/protocol/worker-agent.ts';
+import { parseJson } from '../../../src/types/exact-json.ts';
 import type { MachineId, MachineTypeName, TaskId, ZoneName } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { ControllerGroup } from './controller-group.ts';
 import type { CloudEnvironment } from './fake-cloud.ts';
 import { FakeWorker, type RunningTask, type TaskProgress, type WorkerEnvironment } from './fake-worker.ts';
@@ -174,7 +176,7 @@
   launch(
     worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onProgress: (progress: TaskProgress) => void,
   ): RunningTask {
@@ -193,7 +195,7 @@
 function heartbeatResponse(reply: ClientReply | null): HeartbeatResponse | null {
   if (reply === null) return null;
   try {
-    return decodeHeartbeatResponse(reply.status, JSON.parse(reply.body.toString('utf8')));
+    return decodeHeartbeatResponse(reply.status, parseJson(reply.body.toString('utf8')));
   } catch {
     return null;
   }
--- a/packages/local-cluster/src/store-watches.ts
+++ b/packages/local-cluster/src/store-watches.ts
@@ -10,7 +10,7 @@
   readonly key: string;
   /** Null if the key was deleted. */
   readonly item: StoreItem | null;
-  readonly revision: number;
+  readonly revision: Revision;
 }
 
 /** A watch that waits for a change. */
@@ -26,7 +26,7 @@
 export interface WatchedStore {
   /** The current time in milliseconds. */
   readonly now: number;
-  readonly revision: number;
+  readonly revision: Revision;
   /** Whether a node can be answered now. */
   canAnswer(node: string): boolean;
   /** Answers a watch, at once or after a delay. */
@@ -41,12 +41,12 @@
   private readonly log: LoggedChange[] = [];
   private pendingWatches: Watch[] = [];
   /** Changes up to this revision are not in the log. */
-  private compactedRevision = 0;
+  private compactedRevision = 0 as Revision;
 
   constructor(private readonly store: WatchedStore) {}
 
   /** Marks changes up to this revision as not in the log, when the store is restored. */
-  beginAfter(revision: number): void {
+  beginAfter(revision: Revision): void {
     this.compactedRevision = revision;
   }
 
@@ -56,7 +56,7 @@
   }
 
   /** Whether changes after this revision are no longer in the log. */
-  isCompacted(revision: number): boolean {
+  isCompacted(revision: Revision): boolean {
     return revision < this.compactedRevision;
   }
 
@@ -83,7 +83,7 @@
     return true;
   }
 
-  private changesSince(revision: number): LoggedChange[] {
+  private changesSince(revision: Revision): LoggedChange[] {
     // Searches from the end, as most watches are nearly up to date.
     let first = this.log.length;
     while (first > 0 && this.log[first - 1]!.revision > revision) first--;
@@ -94,7 +94,7 @@
     const newest = new Map(changes.map(({ key, item }) => [key, item]));
     return {
       kind: 'changes',
-      revision: this.store.revision as Revision,
+      revision: this.store.revision,
       puts: [...newest.values()].filter((item): item is StoreItem => item !== null),
       deletes: [...newest].filter(([, item]) => item === null).map(([key]) => key),
     };
--- a/packages/local-cluster/src/task-attempt.ts
+++ b/packages/local-cluster/src/task-attempt.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import type { ExitReason } from '../../../src/core/base/model.ts';
 import type { TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 import type { GangCoordinator, GangMember } from './gang-coordinator.ts';
 import { endGroup } from './process-guard.ts';
@@ -67,7 +68,7 @@
     return this.run.task;
   }
 
-  get attempt(): number {
+  get attempt(): Uint64 {
     return this.run.attempt;
   }
 
--- a/packages/local-cluster/src/task-command.ts
+++ b/packages/local-cluster/src/task-command.ts
@@ -3,13 +3,14 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { closeSync, mkdirSync, openSync } from 'node:fs';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { ProcessGuard } from './process-guard.ts';
 import type { TaskFiles } from './task-files.ts';
 
 /** The command of a task attempt. */
 export interface TaskCommand {
   readonly task: TaskId;
-  readonly attempt: number;
+  readonly attempt: Uint64;
   /** Program and arguments. */
   readonly command: readonly string[];
   /** Number of tasks of the job. */
--- a/packages/local-cluster/src/task-files.ts
+++ b/packages/local-cluster/src/task-files.ts
@@ -2,6 +2,7 @@
 import { statSync } from 'node:fs';
 import { join } from 'node:path';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 
 /** An output stream of a command. */
 export type OutputStream = 'stdout' | 'stderr';
@@ -12,12 +13,12 @@
   constructor(private readonly root: string) {}
 
   /** The working directory of the command. */
-  workDir(task: TaskId, attempt: number): string {
+  workDir(task: TaskId, attempt: Uint64): string {
     return join(this.attemptDir(task, attempt), 'work');
   }
 
   /** The file that records an output stream of the command. */
-  output(task: TaskId, attempt: number, stream: OutputStream): string {
+  output(task: TaskId, attempt: Uint64, stream: OutputStream): string {
     return join(this.attemptDir(task, attempt), stream);
   }
 
@@ -35,7 +36,7 @@
     }
   }
 
-  private attemptDir(task: TaskId, attempt: number): string {
+  private attemptDir(task: TaskId, attempt: Uint64): string {
     const { job, index } = parseTaskId(task);
     return join(this.root, job, `${index}.${attempt}`);
   }
--- a/packages/local-cluster/src/task-run.ts
+++ b/packages/local-cluster/src/task-run.ts
@@ -1,6 +1,7 @@
 // Job descriptions and records of task attempts on the local cluster's machines.
 import type { ExitReason } from '../../../src/core/base/model.ts';
 import type { TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 
 /** The description of a job for the machines that run its tasks; stored and sent in this form. */
 export interface JobDescription {
@@ -17,7 +18,7 @@
 /** A record of one task attempt; experiments audit these records. */
 export interface Run {
   task: TaskId;
-  attempt: number;
+  attempt: Uint64;
   machine: string;
   /** When it began, in milliseconds. */
   from: number;
--- a/packages/local-cluster/src/task-runner.ts
+++ b/packages/local-cluster/src/task-runner.ts
@@ -2,6 +2,7 @@
 import type { ChildProcess } from 'node:child_process';
 import type { ExitReason } from '../../../src/core/base/model.ts';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 import { GangCoordinator, type GangTimes } from './gang-coordinator.ts';
 import { type ImageCacheMachine, ImageCaches } from './image-cache.ts';
@@ -72,12 +73,12 @@
   /**
    * Path of the recorded output of a task's newest attempt, or of `attempt`; null if there is no such run.
    */
-  logFile(task: TaskId, stream: OutputStream, attempt?: number): string | null {
+  logFile(task: TaskId, stream: OutputStream, attempt?: Uint64): string | null {
     const run = this.lastRun(task, attempt);
     return run === null ? null : this.files.output(run.task, run.attempt, stream);
   }
 
-  private lastRun(task: TaskId, attempt?: number): Run | null {
+  private lastRun(task: TaskId, attempt?: Uint64): Run | null {
     for (let index = this.runs.length - 1; index >= 0; index--) {
       const run = this.runs[index]!;
       if (run.task === task && (attempt === undefined || run.attempt === attempt)) return run;
@@ -89,7 +90,7 @@
   launch(
     machine: TaskMachine,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onProgress: (progress: TaskProgress) => void,
   ): RunningTask {
@@ -107,7 +108,7 @@
     return taskAttempt;
   }
 
-  private recordRun(task: TaskId, attempt: number, machine: string): Run {
+  private recordRun(task: TaskId, attempt: Uint64, machine: string): Run {
     const run: Run = { task, attempt, machine, from: this.clock.now, to: null, why: null };
     this.runs.push(run);
     if (this.runs.length > MAX_RUNS) this.runs.splice(0, MAX_RUNS / 2);
--- a/packages/local-cluster/src/worker-environment.ts
+++ b/packages/local-cluster/src/worker-environment.ts
@@ -1,6 +1,7 @@
 // The environment of a worker: it delivers heartbeats to controllers and runs tasks.
 import type { ExitReason, Heartbeat, HeartbeatResponse } from '../../../src/core/base/model.ts';
 import type { TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 
 /** A running task on a machine. */
@@ -43,7 +44,7 @@
   launch(
     worker: Worker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onProgress: (progress: TaskProgress) => void,
   ): RunningTask;
--- a/packages/local-cluster/src/worker-tasks.ts
+++ b/packages/local-cluster/src/worker-tasks.ts
@@ -1,13 +1,14 @@
 // The tasks on one machine, and the execution of the leader's start, stop and forget commands.
 import type { Command, ExitReason, TaskStatus } from '../../../src/core/base/model.ts';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import type { EnvironmentOf, RunningTask, TaskProgress } from './worker-environment.ts';
 
 /** One attempt of a task on a machine. */
 export interface WorkerTask {
   task: TaskId;
   job: string;
-  attempt: number;
+  attempt: Uint64;
   state: TaskStatus['state'];
   /** Why it ended; null while it runs. */
   exitReason: TaskStatus['exitReason'];
@@ -101,7 +102,7 @@
     });
   }
 
-  private start(key: string, id: TaskId, attempt: number): void {
+  private start(key: string, id: TaskId, attempt: Uint64): void {
     const task: WorkerTask = {
       task: id,
       job: parseTaskId(id).job,
--- a/scripts/experiments/fleet-machines.ts
+++ b/scripts/experiments/fleet-machines.ts
@@ -5,6 +5,7 @@
 import { Tasks } from '../../packages/local-cluster/src/task-runner.ts';
 import type { Heartbeat, HeartbeatResponse } from '../../src/core/base/model.ts';
 import type { TaskId, ZoneName } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import type { Arrival } from './fleet-arrivals.ts';
 import type { FleetControllers } from './fleet-controllers.ts';
 import { TYPES } from './fleet-days.ts';
@@ -85,7 +86,7 @@
   launch(
     worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: 'done') => void,
     onState: (state: 'fetching' | 'waiting' | 'running') => void,
   ): RunningTask {
--- a/scripts/experiments/fleet-world.ts
+++ b/scripts/experiments/fleet-world.ts
@@ -11,6 +11,7 @@
 import type { Random } from '../../src/core/base/io.ts';
 import type { Heartbeat, HeartbeatResponse } from '../../src/core/base/model.ts';
 import type { MachineId, MachineTypeName, TaskId, ZoneName } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import { EventQueue } from '../../test/support/event-queue.ts';
 import { type Arrival, arrivals } from './fleet-arrivals.ts';
 import { type ControllerEnvironment, FleetControllers, NODES } from './fleet-controllers.ts';
@@ -128,7 +129,7 @@
   launch(
     worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: 'done') => void,
     onState: (state: 'fetching' | 'waiting' | 'running') => void,
   ): RunningTask {
--- a/scripts/experiments/hotpath-store.ts
+++ b/scripts/experiments/hotpath-store.ts
@@ -9,7 +9,7 @@
 interface Watch {
   prefix: string;
   /** Only changes after this revision are reported. */
-  after: number;
+  after: number | bigint;
   tag: number;
   controller: Controller;
   /** Whether its waiting time has elapsed. */
--- a/scripts/experiments/scale/host-tasks.ts
+++ b/scripts/experiments/scale/host-tasks.ts
@@ -4,6 +4,7 @@
 import type { FakeWorker, RunningTask } from '../../../packages/local-cluster/src/fake-worker.ts';
 import type { ExitReason } from '../../../src/core/base/model.ts';
 import { parseTaskId, type TaskId } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import { type FromHost, type JobDescription, sendToParent, type TaskEvent } from './messages.ts';
 
 const FLUSH_INTERVAL_MS = 100;
@@ -59,7 +60,7 @@
   launch(
     worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onState: HostTask['onState'],
   ): RunningTask {
@@ -125,7 +126,7 @@
    * Members of a gang may be on several hosts, so the parent process decides when the gang starts and when it
    * has lost a member.
    */
-  private joinGang(job: JobDescription, task: TaskId, attempt: number, hostTask: HostTask): RunningTask {
+  private joinGang(job: JobDescription, task: TaskId, attempt: Uint64, hostTask: HostTask): RunningTask {
     const key = `${job.id}@${attempt}`;
     const members = this.gangMembers.get(key) ?? new Map<TaskId, GangMember>();
     this.gangMembers.set(key, members);
--- a/scripts/experiments/scale/worker-process.ts
+++ b/scripts/experiments/scale/worker-process.ts
@@ -15,7 +15,9 @@
   encodeHeartbeat,
 } from '../../../src/protocol/worker-agent.ts';
 import { seededRandom } from '../../../src/runtime/random.ts';
+import { parseJson } from '../../../src/types/exact-json.ts';
 import type { MachineId, MachineTypeName, TaskId, ZoneName } from '../../../src/types/index.ts';
+import type { Uint64 } from '../../../src/types/uint64.ts';
 import { HostTasks } from './host-tasks.ts';
 import {
   endWithParent,
@@ -183,7 +185,7 @@
   launch(
     worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onState: (state: 'waiting' | 'running') => void,
   ): RunningTask {
@@ -194,7 +196,7 @@
 /** Decodes the response to a heartbeat; null if it is invalid, which a worker treats as no response. */
 function decodeHeartbeatReply(status: number, body: Buffer): HeartbeatResponse | null {
   try {
-    return decodeHeartbeatResponse(status, JSON.parse(body.toString('utf8')));
+    return decodeHeartbeatResponse(status, parseJson(body.toString('utf8')));
   } catch {
     return null;
   }
--- a/scripts/proto.mjs
+++ b/scripts/proto.mjs
@@ -15,7 +15,6 @@
   '--no-verify',
   '--no-delimited',
   '--no-service',
-  '--force-number',
   '-o',
   `${outputBase}.js`,
   'src/protocol/peer.proto',
--- a/src/cli/config-command.ts
+++ b/src/cli/config-command.ts
@@ -4,6 +4,7 @@
 import { type ConfigDocument, overlay, UnreadableDocumentError } from '../core/configuration/documents.ts';
 import type { HttpClient } from '../http/client.ts';
 import { InvalidSettingsError, parseSettings } from '../protocol/settings.ts';
+import { stringifyJson } from '../types/exact-json.ts';
 import { type ChangeFlags, EXIT, makeChange } from './config-change.ts';
 import {
   ConfigClient,
@@ -112,7 +113,7 @@
       dispatch,
     };
     if (flags.json) {
-      print(JSON.stringify(view));
+      print(stringifyJson(view));
       return EXIT.done;
     }
     print(`change ${view.number}, revision ${view.revision}`);
@@ -130,7 +131,7 @@
     const { head, revision } = await client.snapshot();
     const inForce = await client.inForce();
     if (flags.json) {
-      print(JSON.stringify({ revision, head, inForce }));
+      print(stringifyJson({ revision, head, inForce }));
       return EXIT.done;
     }
     if (head === null) {
--- a/src/core/base/agent-model.ts
+++ b/src/core/base/agent-model.ts
@@ -8,6 +8,7 @@
   TaskId,
   ZoneName,
 } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 
 /**
  * State of a task on its machine. `waiting`: it waits for the other tasks of its gang to start. `saving`: it
@@ -45,9 +46,9 @@
    * Session number of the agent; a new session begins when its lease has expired and its tasks have been
    * stopped.
    */
-  agentEpoch: number;
+  agentEpoch: Uint64;
   /** Sequence number of the heartbeat, increasing within an epoch. */
-  seq: number;
+  seq: Uint64;
   /** The highest fencing token that the agent has received; it rejects commands with a lower one. */
   fencingToken: FencingToken;
   /** Seconds until the machine is preempted; null without a preemption notice. */
--- a/src/core/base/io.ts
+++ b/src/core/base/io.ts
@@ -1,5 +1,6 @@
 // The boundary of the core: the inputs of a controller, and the effects that the runtime executes for it.
 import type { FencingToken, Instant, NodeId, WallTime } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import { DependencyHealth } from './dependency-health.ts';
 import type { Log, LogFields, LogLevel } from './log.ts';
 import type {
@@ -48,7 +49,7 @@
       tag: number;
       addr: string;
       fencingToken: FencingToken;
-      agentEpoch: number;
+      agentEpoch: Uint64;
       timeoutMs: number;
     }
   | { kind: 'peer'; node: NodeId; message: PeerMessage }
@@ -177,7 +178,7 @@
   probe(
     addr: string,
     fencingToken: FencingToken,
-    agentEpoch: number,
+    agentEpoch: Uint64,
     onReply: (reply: WorkerReply) => void,
   ): void {
     const tag = this.openRequest(onReply);
--- a/src/core/base/peer-model.ts
+++ b/src/core/base/peer-model.ts
@@ -1,5 +1,6 @@
 // Messages between controllers.
 import type { FencingToken, MachineId, NodeId, Revision } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { Heartbeat, HeartbeatResponse, TaskStatus } from './agent-model.ts';
 import type { UserRequest, UserResponse } from './user-model.ts';
 
@@ -50,15 +51,15 @@
   | {
       kind: 'delta';
       machine: MachineId;
-      agentEpoch: number;
-      seq: number;
+      agentEpoch: Uint64;
+      seq: Uint64;
       fencingToken: FencingToken;
       preemptionNoticeS: number | null;
       /**
        * Sequence number of the base heartbeat, of the same epoch. Fields that the delta lacks have the values
        * of the base.
        */
-      baseSeq: number;
+      baseSeq: Uint64;
       /** Indices in the task list of the base: tasks that were removed or whose status changed. */
       removed: number[];
       /** Tasks that were added or whose status changed, with their indices in the new list. */
--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -2,6 +2,7 @@
 // the shard and from the messages of other nodes, and then reads the documents from the store. As long as no
 // operator has announced or written documents, this module sends no requests to the store.
 import { addMs, elapsedMs, type Instant, LONG_AGO, type Millis, type Revision } from '../../types/index.ts';
+import { largerOf } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreReply } from '../base/model.ts';
 import { StorePriority } from '../base/store-request-budget.ts';
@@ -148,7 +149,7 @@
     this.consecutiveFailures = 0;
     this.loggedUnreadable = null;
     this.appliedRevision = snapshot.revision;
-    this.newestRevision = Math.max(this.newestRevision, snapshot.revision) as Revision;
+    this.newestRevision = largerOf(this.newestRevision, snapshot.revision);
     this.laggingSince = this.appliedRevision < this.newestRevision ? this.io.now : null;
     this.appliedAt = this.io.now;
     this.documentCount = snapshot.documents.length;
--- a/src/core/heartbeats/heartbeat-forwarder.ts
+++ b/src/core/heartbeats/heartbeat-forwarder.ts
@@ -11,6 +11,7 @@
   NEVER,
   type NodeId,
 } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { ForwardedHeartbeat, ForwardedHeartbeatResponse, Heartbeat } from '../base/model.ts';
 import type { LeaderRecord } from '../membership/leader-election.ts';
@@ -280,7 +281,7 @@
 
 function createDelta(
   heartbeat: Heartbeat,
-  baseSeq: number,
+  baseSeq: Uint64,
   { removed, changed }: TaskListDelta,
 ): ForwardedHeartbeat {
   const { machine, agentEpoch, seq, fencingToken, preemptionNoticeS } = heartbeat;
--- a/src/core/heartbeats/heartbeat-relay.ts
+++ b/src/core/heartbeats/heartbeat-relay.ts
@@ -2,6 +2,7 @@
 // its heartbeats to the leader over its own link. Agents accept a response with the leader's fencing token
 // from any node, and discard it if it arrives later than 4 s after the heartbeat, like any other response.
 import { addMs, elapsedMs, type Instant, LONG_AGO, type MachineId } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Heartbeat, HeartbeatResponse } from '../base/model.ts';
 import type { LeaderRecord } from '../membership/leader-election.ts';
@@ -69,7 +70,7 @@
       return false;
     }
     const hasReturned = elapsedMs(now, this.redirectedAt.get(machine) ?? LONG_AGO) < RETURN_WINDOW_MS;
-    if (!hasReturned && (heartbeat.fencingToken as number) !== leader.revision) return false;
+    if (!hasReturned && (heartbeat.fencingToken as Uint64) !== leader.revision) return false;
     if (since === undefined) this.relayedSince.set(machine, now);
     return true;
   }
--- a/src/core/jobs/job.ts
+++ b/src/core/jobs/job.ts
@@ -10,6 +10,7 @@
   type WallTime,
   type ZoneName,
 } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { JobSpec, JobStatus, Priority } from '../base/model.ts';
 import type { FencedWrite } from '../storage/fenced-writer.ts';
 import { FailureHistory } from './failure-history.ts';
@@ -29,13 +30,13 @@
    * Sequence number of the heartbeat to which the start command was a response. Only a later heartbeat can
    * show that the command was not executed.
    */
-  sentSeq: number;
+  sentSeq: Uint64;
   sentAt: Instant;
   runningAt: Instant | null;
   /** The stop command to include in each response to the machine; null if the task is not to be stopped. */
   stopping: { graceS: number } | null;
   /** Sequence number of the last heartbeat that listed the task; set by the task reconciler. */
-  seenSeq?: number;
+  seenSeq?: Uint64;
   /** The task is not on the machine any more; set by the machine table. */
   isGone?: boolean;
 }
--- a/src/core/leader/machine-reconciliation.ts
+++ b/src/core/leader/machine-reconciliation.ts
@@ -1,5 +1,6 @@
 // Second step of a failover: the new leader learns from each recorded machine which tasks it runs.
 import { type Instant, LONG_AGO, type MachineId } from '../../types/index.ts';
+import { largerOf, type Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Settings, WorkerReply } from '../base/model.ts';
 import type { JobTable } from '../jobs/job-table.ts';
@@ -7,6 +8,8 @@
 import type { Machine } from '../machines/machine.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
 
+/** Agents number their epochs from this one. */
+const FIRST_AGENT_EPOCH = 1;
 const PROBE_INTERVAL_MS = 2000;
 /** A low limit is enough: most machines send a heartbeat by themselves within one interval. */
 const MAX_CONCURRENT_PROBES = 16;
@@ -107,7 +110,7 @@
     if (this.io.now - lastProbedAt < PROBE_INTERVAL_MS) return;
     this.openProbes++;
     this.probedAt.set(machine.id, this.io.now);
-    const agentEpoch = Math.max(1, machine.agentEpoch);
+    const agentEpoch = largerOf<Uint64>(FIRST_AGENT_EPOCH, machine.agentEpoch);
     this.io.probe(machine.addr, this.machines.fencingToken, agentEpoch, (reply) => {
       this.openProbes--;
       this.onProbeReply(machine, reply);
--- a/src/core/machines/heartbeat-processor.ts
+++ b/src/core/machines/heartbeat-processor.ts
@@ -1,6 +1,7 @@
 // Processes the heartbeats of machines: detects new agent epochs, updates the state of the machine and
 // reconciles its tasks.
 import { addMs, type FencingToken } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Heartbeat } from '../base/model.ts';
 import { diffTaskLists } from '../heartbeats/task-list-delta.ts';
@@ -57,7 +58,7 @@
   }
 
   /** Removes all tasks: a new epoch begins without any, and its agent executes no earlier command. */
-  private beginEpoch(machine: Machine, agentEpoch: number): void {
+  private beginEpoch(machine: Machine, agentEpoch: Uint64): void {
     if (machine.assignments.size > 0)
       this.io.log('info', 'tasks lost: agent epoch ended', {
         machine: machine.id,
--- a/src/core/machines/machine-assignments.ts
+++ b/src/core/machines/machine-assignments.ts
@@ -1,6 +1,7 @@
 // Maintains the queues and assignments of machines, and the sums that depend on them: used and queued
 // capacity, tasks of a job by zone, and usage by team.
 import { type Attempt, taskId } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import { type Job, type TaskAssignment, TaskPhase } from '../jobs/job.ts';
 import type { Quota } from '../teams/quota.ts';
@@ -69,7 +70,7 @@
    * Records that the task is on the machine or may be from now on. `sentSeq`: sequence number of the
    * heartbeat whose response starts the task; -1 for a task that the machine listed.
    */
-  assign(machine: Machine, job: Job, index: number, attempt: Attempt, sentSeq: number): TaskAssignment {
+  assign(machine: Machine, job: Job, index: number, attempt: Attempt, sentSeq: Uint64): TaskAssignment {
     const assignment: TaskAssignment = {
       job,
       index,
--- a/src/core/machines/machine-tasks.ts
+++ b/src/core/machines/machine-tasks.ts
@@ -1,5 +1,6 @@
 // Types for the tasks of a machine that are not assignments: queued tasks, exited tasks and orphans.
 import type { Attempt, Instant, JobId, TaskId } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { Job } from '../jobs/job.ts';
 
 /** A task in a machine's queue; it starts on the machine as soon as there is free capacity. */
@@ -19,7 +20,7 @@
   index: number;
   exitReason: string;
   /** Sequence number of the last heartbeat that listed the task. */
-  seenSeq: number;
+  seenSeq: Uint64;
   /** Whether the task has been removed from the machine's exited tasks. */
   isGone?: boolean;
 }
@@ -31,4 +32,4 @@
 }
 
 /** Key of one attempt of a task in a machine's maps. */
-export const assignmentKey = (task: string, attempt: number): string => `${task}@${attempt}`;
+export const assignmentKey = (task: string, attempt: Attempt): string => `${task}@${attempt}`;
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -1,6 +1,7 @@
 // A machine's state: its agent, the tasks on it and queued for it, and its position in the capacity index.
 // The pools of that index are defined here too, because machines and pools refer to each other.
 import type { Instant, MachineId, ZoneName } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { Heartbeat, JobSpec, MachineType, TaskStatus } from '../base/model.ts';
 import { diffTaskLists } from '../heartbeats/task-list-delta.ts';
 import type { TaskAssignment } from '../jobs/job.ts';
@@ -32,11 +33,11 @@
   /** Address at which the agent answers probes; null before the first heartbeat. */
   addr: string | null = null;
   /** The latest epoch of the agent; each epoch begins without tasks on the machine. */
-  agentEpoch = 0;
+  agentEpoch: Uint64 = 0;
   /** The last epoch whose lease has expired. */
-  expiredEpoch = 0;
-  /** Sequence number of the last heartbeat that was processed. */
-  seq = -1;
+  expiredEpoch: Uint64 = 0;
+  /** Sequence number of the last heartbeat that was processed; -1 before the first one. */
+  seq: Uint64 = -1;
   /** Task list of that heartbeat; null before the first heartbeat of the epoch. */
   lastTaskList: readonly TaskStatus[] | null = null;
   /** Whether that heartbeat was the reply to a probe. */
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -1,6 +1,7 @@
 // Reconciles a machine's task list with the leader's state: updates its assignments, records which tasks have
 // exited and why, and applies the consequences to their jobs and to the machine.
 import { addMs, parseTaskId, taskId } from '../../types/index.ts';
+import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { TaskStatus } from '../base/model.ts';
 import type { Job, TaskAssignment } from '../jobs/job.ts';
@@ -62,7 +63,7 @@
   }
 
   /** Reconciles the task list of the heartbeat with the sequence number `seq`. */
-  reconcile(machine: Machine, tasks: readonly ListedTask[], seq: number): void {
+  reconcile(machine: Machine, tasks: readonly ListedTask[], seq: Uint64): void {
     machine.orphans = [];
     for (const listed of tasks) this.reconcileTask(machine, listed, seq);
     this.unassignUnlisted(machine, seq);
@@ -75,7 +76,7 @@
       machine.assignments.size === tasks.length;
   }
 
-  private reconcileTask(machine: Machine, listed: ListedTask, seq: number): void {
+  private reconcileTask(machine: Machine, listed: ListedTask, seq: Uint64): void {
     // Already reconciled in this term and not removed since: it only has to be marked as listed.
     const tracked = listed.reconciledBy === this ? (listed.assignment ?? listed.exitedTask) : undefined;
     if (tracked !== undefined && tracked.isGone !== true) {
@@ -92,7 +93,7 @@
    * later heartbeat does not list a task that the response started, it was not started or is no longer on the
    * machine.
    */
-  private unassignUnlisted(machine: Machine, seq: number): void {
+  private unassignUnlisted(machine: Machine, seq: Uint64): void {
     for (const [key, assignment] of machine.assignments) {
       if (assignment.seenSeq === seq || assignment.sentSeq >= seq) continue;
       this.io.log('info', 'task not on its machine', {
@@ -109,7 +110,7 @@
     key: string,
     listed: ListedTask,
     state: Exclude<TaskStatus['state'], 'exited'>,
-    seq: number,
+    seq: Uint64,
   ): void {
     const assignment = machine.assignments.get(key) ?? this.adoptTask(machine, listed);
     if (assignment === null) return;
@@ -163,7 +164,7 @@
     }
   }
 
-  private onExited(machine: Machine, key: string, listed: ListedTask, seq: number): void {
+  private onExited(machine: Machine, key: string, listed: ListedTask, seq: Uint64): void {
     const knownExit = machine.exitedTasks.get(key);
     listed.reconciledBy = this;
     if (knownExit !== undefined) {
@@ -234,7 +235,7 @@
 }
 
 /** Removes exited tasks that the machine no longer lists. */
-function removeUnlistedExits(machine: Machine, seq: number): void {
+function removeUnlistedExits(machine: Machine, seq: Uint64): void {
   for (const [key, exited] of machine.exitedTasks) {
     if (exited.seenSeq === seq) continue;
     exited.isGone = true;
--- a/src/core/membership/leader-election.ts
+++ b/src/core/membership/leader-election.ts
@@ -10,6 +10,7 @@
   type Revision,
   type StoreLeaseId,
 } from '../../types/index.ts';
+import { largerOf } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreCondition, StorePut, StoreReply } from '../base/model.ts';
 import { StorePriority } from '../base/store-request-budget.ts';
@@ -198,7 +199,7 @@
   }
 
   private onLeaderMissing(asOf: Revision): void {
-    this.vacantAsOf = Math.max(this.vacantAsOf, asOf) as Revision;
+    this.vacantAsOf = largerOf(this.vacantAsOf, asOf);
     if (this.term === null) this.leader = null;
     this.vacantSince ??= this.io.now;
   }
--- a/src/core/scheduling/task-queuing.ts
+++ b/src/core/scheduling/task-queuing.ts
@@ -1,17 +1,18 @@
 // Puts tasks into the queues of machines, each under an attempt number that is never used twice for a task.
 import type { Attempt, Revision } from '../../types/index.ts';
+import { toUint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import type { Machine } from '../machines/machine.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
 import type { Reservations } from './reservations.ts';
 
-/** Attempt numbers available in each term. Terms are revisions; their product with this stays below 2^53. */
-const ATTEMPTS_PER_TERM = 2 ** 24;
+/** Attempt numbers available in each term. */
+const ATTEMPTS_PER_TERM = 2n ** 24n;
 
 /** Queues tasks on machines. */
 export class TaskQueuing {
-  private attemptCount = 0;
+  private attemptCount = 0n;
 
   constructor(
     private readonly io: ControllerIo,
@@ -23,7 +24,7 @@
   /** Returns a new attempt number; attempt numbers increase with the term and within it. */
   nextAttempt(): Attempt {
     this.attemptCount++;
-    return (this.term * ATTEMPTS_PER_TERM + this.attemptCount) as Attempt;
+    return toUint64(BigInt(this.term) * ATTEMPTS_PER_TERM + this.attemptCount) as Attempt;
   }
 
   /** Puts a waiting task into the machine's queue, and ends the machine's reservation if there is one. */
--- a/src/protocol/http-call.ts
+++ b/src/protocol/http-call.ts
@@ -1,4 +1,5 @@
 // HTTP requests and responses as the protocol codecs use them, independent of the HTTP client.
+import { parseJson } from '../types/exact-json.ts';
 
 /** An HTTP request without the address of the server. */
 export interface HttpCall {
@@ -30,7 +31,7 @@
   if (reply === null) return { kind: 'no-answer' };
   try {
     const { status, body } = reply;
-    return decode(status, body.length === 0 ? {} : JSON.parse(body.toString('utf8')));
+    return decode(status, body.length === 0 ? {} : parseJson(body.toString('utf8')));
   } catch (error) {
     onInvalid(error);
     return { kind: 'no-answer' };
--- a/src/protocol/json-fields.ts
+++ b/src/protocol/json-fields.ts
@@ -1,5 +1,6 @@
 // Reads and validates the fields of JSON messages; the errors name the field.
 import { SwiftfordError } from '../types/errors.ts';
+import { isUint64, UINT64_MAX, type Uint64 } from '../types/uint64.ts';
 
 /** A message violates the protocol. The text names the field and is returned to the sender of the message. */
 export class InvalidMessageError extends SwiftfordError {
@@ -46,6 +47,14 @@
   return value;
 }
 
+/** An integer from `min` to 2^64 - 1, as `parseJson` reads it. */
+export function readUint64(object: JsonObject, name: string, min: 0 | 1 = 0): Uint64 {
+  const value = object[name];
+  if (!isUint64(value) || value < min)
+    throw new InvalidMessageError(`${name} must be a whole number from ${min} to ${UINT64_MAX}`);
+  return value;
+}
+
 /** A boolean. */
 export function readBoolean(object: JsonObject, name: string): boolean {
   const value = object[name];
--- a/src/protocol/peer-decoder.ts
+++ b/src/protocol/peer-decoder.ts
@@ -11,6 +11,7 @@
   UserResponse,
 } from '../core/base/model.ts';
 import { decodeJobSpec, type StoredJobSpec } from '../core/storage/job-record.ts';
+import { parseJson } from '../types/exact-json.ts';
 import type {
   Attempt,
   FencingToken,
@@ -25,6 +26,7 @@
 import { swiftford } from './generated/peer.js';
 import { FrameReader, InvalidPeerMessageError } from './peer-frames.ts';
 import { COMMAND_OPS, EXIT_REASONS, TASK_STATES } from './peer-names.ts';
+import { decodeUint64 } from './peer-uint64.ts';
 import { decodeRelayedHeartbeat, decodeRelayedResponse } from './relay.ts';
 
 const { Envelope } = swiftford.peer;
@@ -65,12 +67,12 @@
 function decodeRelayedMessage(envelope: swiftford.peer.IEnvelope): PeerMessage | null {
   const { relayedHeartbeat: relayed, relayedHeartbeatResponse: relayedResponse } = envelope;
   if (relayed) {
-    const heartbeat = decodeRelayedHeartbeat(JSON.parse(relayed.heartbeat ?? ''));
+    const heartbeat = decodeRelayedHeartbeat(parseJson(relayed.heartbeat ?? ''));
     return { kind: 'relayed-heartbeat', id: relayed.id ?? 0, heartbeat };
   }
   if (relayedResponse) {
     const json = relayedResponse.response;
-    const response = json ? decodeRelayedResponse(JSON.parse(json)) : null;
+    const response = json ? decodeRelayedResponse(parseJson(json)) : null;
     return { kind: 'relayed-heartbeat-response', id: relayedResponse.id ?? 0, response };
   }
   return null;
@@ -89,7 +91,7 @@
 const decodeHello = (hello: swiftford.peer.IHello): PeerMessage => ({
   kind: 'hello',
   node: hello.node as NodeId,
-  leaderTerm: Number(hello.leaderTerm ?? 0) as Revision,
+  leaderTerm: decodeUint64(hello.leaderTerm) as Revision,
   supportsDependencies: hello.supportsDependencies === true,
   supportsForwarding: hello.supportsForwarding === true,
   supportsConfigDocuments: hello.supportsConfigDocuments === true,
@@ -102,8 +104,8 @@
   workers: load.workers ?? 0,
   backlogS: load.backlogS ?? 0,
   memoryShort: load.memoryShort ?? false,
-  configRevision: Number(load.configRevision ?? 0) as Revision,
-  leaderTerm: Number(load.leaderTerm ?? 0) as Revision,
+  configRevision: decodeUint64(load.configRevision) as Revision,
+  leaderTerm: decodeUint64(load.leaderTerm) as Revision,
 });
 
 function decodeUserRequest(request: swiftford.peer.IUserRequest): UserRequest {
@@ -160,7 +162,7 @@
   const reason = EXIT_REASONS[task.exitReason ?? 0] ?? null;
   return {
     task: (task.task ?? '') as TaskId,
-    attempt: Number(task.attempt ?? 0) as Attempt,
+    attempt: decodeUint64(task.attempt) as Attempt,
     state,
     exitReason: state === 'exited' ? (reason ?? 'error') : null,
     checkpointed: task.checkpointed === true,
@@ -170,13 +172,13 @@
 function decodeForwardedHeartbeat(forwarded: swiftford.peer.IForwardedHeartbeat): ForwardedHeartbeat {
   const common = {
     machine: (forwarded.machine ?? '') as MachineId,
-    agentEpoch: Number(forwarded.agentEpoch ?? 0),
-    seq: Number(forwarded.seq ?? 0),
-    fencingToken: Number(forwarded.fencingToken ?? 0) as FencingToken,
+    agentEpoch: decodeUint64(forwarded.agentEpoch),
+    seq: decodeUint64(forwarded.seq),
+    fencingToken: decodeUint64(forwarded.fencingToken) as FencingToken,
     preemptionNoticeS: forwarded.preemptionNoticeS ?? null,
   };
   const tasks = forwarded.tasks ?? [];
-  const baseSeq = Number(forwarded.baseSeq ?? 0);
+  const baseSeq = decodeUint64(forwarded.baseSeq);
   if (baseSeq > 0) {
     const changed = tasks.map((task) => ({ at: task.index ?? 0, task: decodeTask(task) }));
     return { kind: 'delta', ...common, baseSeq, removed: forwarded.removed ?? [], changed };
@@ -201,7 +203,7 @@
       `command for task ${command.task} has the unknown op code ${command.op}`,
     );
   const task = (command.task ?? '') as TaskId;
-  const attempt = Number(command.attempt ?? 0) as Attempt;
+  const attempt = decodeUint64(command.attempt) as Attempt;
   return op === 'stop' ? { op, task, attempt, graceS: command.graceS ?? 0 } : { op, task, attempt };
 }
 
@@ -212,7 +214,7 @@
     case ForwardedKind.COMMANDS:
       return {
         kind: 'commands',
-        fencingToken: Number(response.fencingToken ?? 0) as FencingToken,
+        fencingToken: decodeUint64(response.fencingToken) as FencingToken,
         commands: (response.commands ?? []).map(decodeCommand),
       };
     case ForwardedKind.FULL_HEARTBEAT_REQUIRED:
--- a/src/protocol/peer-encoder.ts
+++ b/src/protocol/peer-encoder.ts
@@ -10,9 +10,11 @@
   UserResponse,
 } from '../core/base/model.ts';
 import { encodeJobSpec } from '../core/storage/job-record.ts';
+import { stringifyJson } from '../types/exact-json.ts';
 import { swiftford } from './generated/peer.js';
 import { LENGTH_PREFIX_BYTES } from './peer-frames.ts';
 import { COMMAND_OPS, EXIT_REASONS, TASK_STATES } from './peer-names.ts';
+import { encodeUint64 } from './peer-uint64.ts';
 import { encodeRelayedHeartbeat, encodeRelayedResponse } from './relay.ts';
 
 const { Envelope } = swiftford.peer;
@@ -44,12 +46,12 @@
     case 'forwarded-heartbeat-response':
       return { forwardedHeartbeatResponse: encodeForwardedResponse(message.id, message.response) };
     case 'relayed-heartbeat': {
-      const heartbeat = JSON.stringify(encodeRelayedHeartbeat(message.heartbeat));
+      const heartbeat = stringifyJson(encodeRelayedHeartbeat(message.heartbeat));
       return { relayedHeartbeat: { id: message.id, heartbeat } };
     }
     case 'relayed-heartbeat-response': {
       const { id, response } = message;
-      const json = response === null ? '' : JSON.stringify(encodeRelayedResponse(response));
+      const json = response === null ? '' : stringifyJson(encodeRelayedResponse(response));
       return { relayedHeartbeatResponse: { id, response: json } };
     }
   }
@@ -57,7 +59,7 @@
 
 const encodeHello = (message: Extract<PeerMessage, { kind: 'hello' }>): swiftford.peer.IHello => ({
   node: message.node,
-  leaderTerm: message.leaderTerm,
+  leaderTerm: encodeUint64(message.leaderTerm),
   supportsDependencies: message.supportsDependencies,
   supportsForwarding: message.supportsForwarding,
   supportsConfigDocuments: message.supportsConfigDocuments,
@@ -69,8 +71,8 @@
   workers: message.workers,
   backlogS: message.backlogS,
   memoryShort: message.memoryShort,
-  configRevision: message.configRevision,
-  leaderTerm: message.leaderTerm,
+  configRevision: encodeUint64(message.configRevision),
+  leaderTerm: encodeUint64(message.leaderTerm),
 });
 
 function encodeUserRequest(id: number, request: UserRequest): swiftford.peer.IUserRequest {
@@ -126,7 +128,7 @@
 
 const encodeTask = (task: TaskStatus): swiftford.peer.ITaskStatus => ({
   task: task.task,
-  attempt: task.attempt,
+  attempt: encodeUint64(task.attempt),
   state: TASK_STATES.indexOf(task.state),
   exitReason: EXIT_REASONS.indexOf(task.exitReason),
   checkpointed: task.checkpointed,
@@ -144,11 +146,11 @@
 ): swiftford.peer.IForwardedHeartbeat => ({
   id,
   machine: delta.machine,
-  agentEpoch: delta.agentEpoch,
-  seq: delta.seq,
-  fencingToken: delta.fencingToken,
+  agentEpoch: encodeUint64(delta.agentEpoch),
+  seq: encodeUint64(delta.seq),
+  fencingToken: encodeUint64(delta.fencingToken),
   preemptionNoticeS: delta.preemptionNoticeS,
-  baseSeq: delta.baseSeq,
+  baseSeq: encodeUint64(delta.baseSeq),
   removed: delta.removed,
   tasks: delta.changed.map((change) => ({ ...encodeTask(change.task), index: change.at })),
 });
@@ -156,9 +158,9 @@
 const encodeFullHeartbeat = (id: number, heartbeat: Heartbeat): swiftford.peer.IForwardedHeartbeat => ({
   id,
   machine: heartbeat.machine,
-  agentEpoch: heartbeat.agentEpoch,
-  seq: heartbeat.seq,
-  fencingToken: heartbeat.fencingToken,
+  agentEpoch: encodeUint64(heartbeat.agentEpoch),
+  seq: encodeUint64(heartbeat.seq),
+  fencingToken: encodeUint64(heartbeat.fencingToken),
   preemptionNoticeS: heartbeat.preemptionNoticeS,
   addr: heartbeat.addr,
   type: heartbeat.type,
@@ -170,7 +172,7 @@
 const encodeCommand = (command: Command): swiftford.peer.ICommand => ({
   op: COMMAND_OPS.indexOf(command.op),
   task: command.task,
-  attempt: command.attempt,
+  attempt: encodeUint64(command.attempt),
   graceS: command.op === 'stop' ? command.graceS : 0,
 });
 
@@ -186,7 +188,12 @@
       return { id, kind: ForwardedKind.REDIRECT, node: response.node ?? '' };
     case 'commands': {
       const commands = response.commands.map(encodeCommand);
-      return { id, kind: ForwardedKind.COMMANDS, fencingToken: response.fencingToken, commands };
+      return {
+        id,
+        kind: ForwardedKind.COMMANDS,
+        fencingToken: encodeUint64(response.fencingToken),
+        commands,
+      };
     }
   }
 }
--- a/src/protocol/relay.ts
+++ b/src/protocol/relay.ts
@@ -17,6 +17,7 @@
   TaskId,
   ZoneName,
 } from '../types/index.ts';
+import type { Uint64 } from '../types/uint64.ts';
 
 interface RelayedTask {
   task: TaskId;
@@ -33,8 +34,8 @@
   type: MachineTypeName;
   zone: ZoneName;
   spot: boolean;
-  session: number;
-  seq: number;
+  session: Uint64;
+  seq: Uint64;
   token: FencingToken;
   noticeS: number | null;
   tasks: RelayedTask[];
--- a/src/protocol/service-side.ts
+++ b/src/protocol/service-side.ts
@@ -1,6 +1,10 @@
 // Code shared by the server sides of the store and cloud protocols (store-service.ts, cloud-service.ts).
+import { stringifyJson } from '../types/exact-json.ts';
+import { isUint64, toUint64, UINT64_MAX, type Uint64 } from '../types/uint64.ts';
 import { asObject, InvalidMessageError, type JsonObject } from './json-fields.ts';
 
+const DECIMAL_DIGITS = /^\d{1,20}$/;
+
 /** An encoded HTTP response of a service. */
 export interface EncodedReply {
   status: number;
@@ -17,7 +21,7 @@
 /** Encodes a response with a JSON body. */
 export const jsonReply = (status: number, body: unknown): EncodedReply => ({
   status,
-  body: JSON.stringify(body),
+  body: stringifyJson(body),
 });
 
 /** Encodes a response with the reason why a request was not executed. */
@@ -38,6 +42,14 @@
   return { segments: path.split('/').slice(1), query: new URLSearchParams(query) };
 }
 
+/** An integer below 2^64 in a path or query; `name` names it in the `InvalidMessageError`. */
+export function parseUint64(text: string | undefined, name: string): Uint64 {
+  const value = text !== undefined && DECIMAL_DIGITS.test(text) ? toUint64(BigInt(text)) : null;
+  if (!isUint64(value))
+    throw new InvalidMessageError(`${name} must be a whole number from 0 to ${UINT64_MAX}`);
+  return value;
+}
+
 /** A non-negative number from the query parameter `name`; 0 if it is missing. */
 export function readQueryNumber(query: URLSearchParams, name: string): number {
   const value = Number(query.get(name) ?? 0);
--- a/src/protocol/store-service.ts
+++ b/src/protocol/store-service.ts
@@ -2,13 +2,14 @@
 // by controllers, is store.ts.
 import type { StoreItem, StorePut, StoreReply, StoreRequest } from '../core/base/model.ts';
 import type { Revision, StoreLeaseId } from '../types/index.ts';
-import { asObject, readAmount, readCount, readString } from './json-fields.ts';
+import { asObject, readAmount, readString, readUint64 } from './json-fields.ts';
 import {
   type DecodedRequest,
   decodeRequest,
   type EncodedReply,
   failureReply,
   jsonReply,
+  parseUint64,
   type RequestTarget,
   readObjectList,
   readQueryNumber,
@@ -46,14 +47,14 @@
     }
     case 'POST holds/':
       if (segments[2] !== 'extend') return null;
-      return { kind: 'renew-lease', lease: Number(segments[1]) as StoreLeaseId };
+      return { kind: 'renew-lease', lease: parseUint64(segments[1], 'the hold') as StoreLeaseId };
     case 'DELETE holds/':
-      return { kind: 'revoke-lease', lease: Number(segments[1]) as StoreLeaseId };
+      return { kind: 'revoke-lease', lease: parseUint64(segments[1], 'the hold') as StoreLeaseId };
     case 'GET changes':
       return {
         kind: 'watch',
         prefix: query.get('prefix') ?? '',
-        after: readQueryNumber(query, 'from') as Revision,
+        after: parseUint64(query.get('from') ?? '0', 'from') as Revision,
         waitMs: Math.min(MAX_WATCH_MS, readQueryNumber(query, 'blockMs')),
       };
     case 'POST commit':
@@ -74,12 +75,12 @@
     puts.push({
       key: readString(change, 'set'),
       value: change.v,
-      ...(change.tenancy === undefined ? {} : { lease: readCount(change, 'tenancy') as StoreLeaseId }),
+      ...(change.tenancy === undefined ? {} : { lease: readUint64(change, 'tenancy') as StoreLeaseId }),
     });
   }
   const conditions = readObjectList(fields, 'if').map((condition) => ({
     key: readString(condition, 'key'),
-    revision: readCount(condition, 'stamp') as Revision,
+    revision: readUint64(condition, 'stamp') as Revision,
   }));
   return { kind: 'compare-and-swap', conditions, puts, deletes };
 }
@@ -91,7 +92,7 @@
   request: StoreRequest,
   reply: StoreReply,
   pageSize: number,
-  revision: number,
+  revision: Revision,
 ): EncodedReply | null {
   switch (reply.kind) {
     case 'item':
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -1,8 +1,9 @@
 // Client side of the protocol of the key-value store, used by controllers: encodes requests, decodes replies.
 import type { StoreItem, StoreReply, StoreRequest } from '../core/base/model.ts';
+import { stringifyJson } from '../types/exact-json.ts';
 import type { Revision, StoreLeaseId } from '../types/index.ts';
 import type { HttpCall } from './http-call.ts';
-import { asObject, readCount, readList } from './json-fields.ts';
+import { asObject, readList, readUint64 } from './json-fields.ts';
 
 const LIST_PAGE_SIZE = 500;
 
@@ -40,7 +41,7 @@
     ...(put.lease === undefined ? {} : { tenancy: put.lease }),
   }));
   for (const key of request.deletes) changes.push({ drop: key });
-  return JSON.stringify({
+  return stringifyJson({
     if: request.conditions.map((condition) => ({ key: condition.key, stamp: condition.revision })),
     ...(changes.length === 0 ? {} : { apply: changes }),
   });
@@ -51,7 +52,7 @@
   return {
     key: String(fields.key ?? fields.set),
     value: fields.v,
-    revision: readCount(fields, 'stamp') as Revision,
+    revision: readUint64(fields, 'stamp') as Revision,
   };
 }
 
@@ -59,7 +60,7 @@
 
 /** The store's revision at the time of the reply. */
 const readRevision = (json: unknown): Revision =>
-  readCount(asObject(json, 'the reply'), 'ledger') as Revision;
+  readUint64(asObject(json, 'the reply'), 'ledger') as Revision;
 
 function decodeChanges(json: unknown): StoreReply {
   const puts: StoreItem[] = [];
@@ -85,7 +86,7 @@
     case 'list':
       return decodeItems(json);
     case 'grant-lease': {
-      const lease = readCount(asObject(json, 'the reply'), 'tenancy') as StoreLeaseId;
+      const lease = readUint64(asObject(json, 'the reply'), 'tenancy') as StoreLeaseId;
       return { kind: 'lease-granted', lease };
     }
     case 'watch':
@@ -113,7 +114,7 @@
     case 429:
       return { kind: 'refused', busy: true };
     case 400:
-      return { kind: 'rejected', reason: JSON.stringify(json) };
+      return { kind: 'rejected', reason: stringifyJson(json) };
     default:
       return { kind: 'refused', busy: false };
   }
--- a/src/protocol/worker-agent.ts
+++ b/src/protocol/worker-agent.ts
@@ -1,13 +1,15 @@
 // Agent side of the worker protocol: encodes heartbeats, decodes commands. The controller side is worker.ts.
 import type { Command, Heartbeat, HeartbeatResponse, TaskStatus } from '../core/base/model.ts';
+import { stringifyJson } from '../types/exact-json.ts';
 import type { Attempt, FencingToken, NodeId, TaskId } from '../types/index.ts';
+import type { Uint64 } from '../types/uint64.ts';
 import {
   asObject,
   InvalidMessageError,
   type JsonObject,
   readAmount,
-  readCount,
   readString,
+  readUint64,
   wireNameOf,
 } from './json-fields.ts';
 import { readObjectList } from './service-side.ts';
@@ -23,7 +25,7 @@
 
 /** Encodes the body of a heartbeat. */
 export function encodeHeartbeat(heartbeat: Heartbeat): string {
-  return JSON.stringify({
+  return stringifyJson({
     berth: heartbeat.machine,
     endpoint: heartbeat.addr,
     berthkind: heartbeat.type,
@@ -39,7 +41,7 @@
 
 function decodeCommand(fields: JsonObject): Command {
   const task = readString(fields, 'piece') as TaskId;
-  const attempt = readCount(fields, 'try') as Attempt;
+  const attempt = readUint64(fields, 'try') as Attempt;
   switch (fields.verb) {
     case 'launch':
       return { op: 'start', task, attempt };
@@ -56,7 +58,7 @@
   /** The fencing token of the commands. */
   fencingToken: FencingToken;
   /** The agent epoch that the commands are meant for; null if the message has none. */
-  agentEpoch: number | null;
+  agentEpoch: Uint64 | null;
   commands: Command[];
 }
 
@@ -64,8 +66,8 @@
 export function decodeCommands(json: unknown): DecodedCommands {
   const fields = asObject(json, 'the orders');
   return {
-    fencingToken: readCount(fields, 'baton') as FencingToken,
-    agentEpoch: fields.shift === undefined ? null : readCount(fields, 'shift', 1),
+    fencingToken: readUint64(fields, 'baton') as FencingToken,
+    agentEpoch: fields.shift === undefined ? null : readUint64(fields, 'shift', 1),
     commands: readObjectList(fields, 'orders').map(decodeCommand),
   };
 }
--- a/src/protocol/worker.ts
+++ b/src/protocol/worker.ts
@@ -7,15 +7,17 @@
   TaskState,
   TaskStatus,
 } from '../core/base/model.ts';
+import { stringifyJson } from '../types/exact-json.ts';
 import type { Attempt, FencingToken, MachineId, MachineTypeName, TaskId, ZoneName } from '../types/index.ts';
+import type { Uint64 } from '../types/uint64.ts';
 import {
   asObject,
   InvalidMessageError,
   readAmount,
   readBoolean,
-  readCount,
   readOptional,
   readString,
+  readUint64,
 } from './json-fields.ts';
 
 /** Task states by their names in the worker protocol. */
@@ -46,7 +48,7 @@
   const reason = readOptional(fields, 'cause', readString);
   return {
     task: readString(fields, 'piece') as TaskId,
-    attempt: readCount(fields, 'try') as Attempt,
+    attempt: readUint64(fields, 'try') as Attempt,
     state,
     // An unknown exit reason is treated as `error`, a failure of the task.
     exitReason: state === 'exited' ? (WORKER_EXIT_REASONS[reason ?? 'error'] ?? 'error') : null,
@@ -65,9 +67,9 @@
     type: readString(fields, 'berthkind') as MachineTypeName,
     zone: readString(fields, 'yard') as ZoneName,
     spot: readBoolean(fields, 'loaners'),
-    agentEpoch: readCount(fields, 'shift', 1),
-    seq: readCount(fields, 'tally'),
-    fencingToken: readCount(fields, 'baton') as FencingToken,
+    agentEpoch: readUint64(fields, 'shift', 1),
+    seq: readUint64(fields, 'tally'),
+    fencingToken: readUint64(fields, 'baton') as FencingToken,
     preemptionNoticeS: readOptional(fields, 'recallS', readAmount),
     tasks: tasks.map(parseTask),
   };
@@ -81,8 +83,8 @@
 }
 
 /** Encodes commands with a fencing token. With `agentEpoch`, only the agent in this epoch executes them. */
-export function encodeCommands(fencingToken: FencingToken, commands: Command[], agentEpoch?: number): string {
-  return JSON.stringify({
+export function encodeCommands(fencingToken: FencingToken, commands: Command[], agentEpoch?: Uint64): string {
+  return stringifyJson({
     baton: fencingToken,
     ...(agentEpoch === undefined ? {} : { shift: agentEpoch }),
     orders: commands.map(encodeCommand),
--- a/src/runtime/invalid-message-log.ts
+++ b/src/runtime/invalid-message-log.ts
@@ -1,4 +1,5 @@
-// Logs why messages of other programs are invalid, at a limited rate: a whole fleet may send the same mistake.
+// Logs why messages of other programs are invalid, at a limited rate: a whole fleet may send the same
+// mistake.
 import { InvalidMessageError } from '../protocol/json-fields.ts';
 import type { Log } from './log.ts';
 
@@ -23,7 +24,7 @@
     private readonly now: () => number = () => performance.now(),
   ) {}
 
-  /** Records a message that could not be decoded; errors other than `InvalidMessageError` are described too. */
+  /** Records that a message could not be decoded. */
   record(source: MessageSource, error: unknown): void {
     const state = this.stateBySource.get(source) ?? { nextLogAt: Number.NEGATIVE_INFINITY, count: 0 };
     this.stateBySource.set(source, state);
--- a/src/runtime/request-router.ts
+++ b/src/runtime/request-router.ts
@@ -7,6 +7,7 @@
 import { InvalidMessageError } from '../protocol/json-fields.ts';
 import { encodeUserResponse, errorResponse } from '../protocol/user-response.ts';
 import { parseHeartbeat } from '../protocol/worker.ts';
+import { parseJson, stringifyJson } from '../types/exact-json.ts';
 import type { JobId } from '../types/index.ts';
 import type { InvalidMessageLog } from './invalid-message-log.ts';
 import type { Log } from './log.ts';
@@ -102,7 +103,7 @@
   /** Responds with the status of the core and measurements of the process, for operators. */
   private onStatus(respond: Respond): void {
     const { controller, processStatus } = this.dependencies;
-    respond({ status: 200, body: JSON.stringify({ ...controller.describe(), process: processStatus() }) });
+    respond({ status: 200, body: stringifyJson({ ...controller.describe(), process: processStatus() }) });
   }
 
   private onHeartbeat(request: HttpMessage, respond: Respond): void {
@@ -157,7 +158,7 @@
 
 function parseBody(body: Buffer): unknown {
   try {
-    return JSON.parse(body.toString('utf8'));
+    return parseJson(body.toString('utf8'));
   } catch (cause) {
     throw new InvalidMessageError('the body is not JSON', { cause });
   }
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -1,5 +1,7 @@
 // Branded types for ids, versions and times, which the compiler keeps apart. At run time they are plain
-// strings and numbers.
+// strings and numbers, or bigints where a number does not hold the value (uint64.ts).
+import type { Uint64 } from './uint64.ts';
+
 declare const brand: unique symbol;
 type Brand<T, B> = T & { readonly [brand]: B };
 
@@ -18,13 +20,13 @@
 /** The name of a machine type. */
 export type MachineTypeName = Brand<string, 'MachineTypeName'>;
 /** The revision of a key in the store, and the store's global revision, which increases with each change. */
-export type Revision = Brand<number, 'Revision'>;
+export type Revision = Brand<Uint64, 'Revision'>;
 /** The fencing token of a leader's commands; machines reject tokens lower than the highest received. */
-export type FencingToken = Brand<number, 'FencingToken'>;
+export type FencingToken = Brand<Uint64, 'FencingToken'>;
 /** The number of an attempt to run a task; unique within the task. */
-export type Attempt = Brand<number, 'Attempt'>;
+export type Attempt = Brand<Uint64, 'Attempt'>;
 /** The id of a lease in the store. */
-export type StoreLeaseId = Brand<number, 'StoreLeaseId'>;
+export type StoreLeaseId = Brand<Uint64, 'StoreLeaseId'>;
 /** Milliseconds of this process's monotonic clock. */
 export type Instant = Brand<number, 'Instant'>;
 /** Milliseconds of the wall clock; only for times that must stay valid after the process has ended. */
--- a/test/config-command.test.ts
+++ b/test/config-command.test.ts
@@ -22,6 +22,7 @@
 import type { ConfigDocument } from '../src/core/configuration/documents.ts';
 import { LEADER_KEY } from '../src/core/storage/keys.ts';
 import { InvalidSettingsError } from '../src/protocol/settings.ts';
+import type { Revision } from '../src/types/index.ts';
 import { EventQueue } from './support/event-queue.ts';
 import { team } from './support/operator.ts';
 import { SimulatedWorld, settings } from './support/simulated-world.ts';
@@ -41,7 +42,8 @@
     after: (ms: number, run: () => void) => events.add(clock.now + ms, run),
   };
   const store = new FakeState(clock);
-  store.restore(1, [[LEADER_KEY, { value: { moved: 'share/1' }, revision: 1, hold: null }]], []);
+  const revision = 1 as Revision;
+  store.restore(revision, [[LEADER_KEY, { value: { moved: 'share/1' }, revision, hold: null }]], []);
   const advance = (ms: number): void => {
     const end = clock.now + ms;
     for (let event = events.next(end); event !== null; event = events.next(end)) {
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -16,6 +16,7 @@
   LEADER_KEY,
 } from '../src/core/storage/keys.ts';
 import type { JobId, Revision, TeamName } from '../src/types/index.ts';
+import { successor } from '../src/types/uint64.ts';
 import { checkRules } from './support/checked-world.ts';
 import { LIMITS, Operator, team } from './support/operator.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
@@ -87,7 +88,7 @@
   assert.equal(isInForce, true, `revision ${revision} is not in force after ${IN_FORCE_S} s`);
 }
 
-const appliedBy = (world: SimulatedWorld, node: string): number =>
+const appliedBy = (world: SimulatedWorld, node: string): Revision =>
   world.nodes.get(node)!.configuration.appliedRevision;
 
 describe('a cluster without configuration documents', () => {
@@ -444,7 +445,14 @@
     const before = world.state.entries.get(LEADER_KEY)!.revision;
     const { snapshot } = operator;
     const changes = planChanges(snapshot, [limitedTeam(2)]);
-    const early = changeTransaction(snapshot, changes, 'early', world.now, (before + 1) as Revision, LIMITS);
+    const early = changeTransaction(
+      snapshot,
+      changes,
+      'early',
+      world.now,
+      successor(before) as Revision,
+      LIMITS,
+    );
     assert.equal(operator.commit(early).kind, 'conflict');
   });
 
--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from 'node:test';
 import type { Heartbeat } from '../src/core/base/model.ts';
 import type { JobId } from '../src/types/index.ts';
+import type { Uint64 } from '../src/types/uint64.ts';
 import { checkRules, cutLeader } from './support/checked-world.ts';
 import { assertUnbroken, startCheckedLongJob } from './support/long-job.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
@@ -136,7 +137,7 @@
     }
     world.run(10);
     let terms = 0;
-    let lastTerm = 0;
+    let lastTerm: Uint64 = 0;
     for (let i = 0; i < 12; i++) {
       if (i === 4) world.state.outage(18);
       const leader = world.leader ?? [...world.nodes.keys()][0]!;
--- a/test/heartbeat-forwarding.test.ts
+++ b/test/heartbeat-forwarding.test.ts
@@ -18,12 +18,13 @@
 import type { LeaderTerm } from '../src/core/leader/leader-term.ts';
 import { seededRandom } from '../src/runtime/random.ts';
 import type { Attempt, Instant, MachineId, NodeId, Revision, TaskId, WallTime } from '../src/types/index.ts';
+import type { Uint64 } from '../src/types/uint64.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
 
 const leaderTermOf = (world: SimulatedWorld): LeaderTerm => world.nodes.get(world.leader!)!.leaderTerm!;
 
 /** A delta stating that no task has changed since the heartbeat with the sequence number `baseSeq`. */
-function unchangedSince(heartbeat: Heartbeat, baseSeq: number): ForwardedHeartbeat {
+function unchangedSince(heartbeat: Heartbeat, baseSeq: Uint64): ForwardedHeartbeat {
   const { machine, agentEpoch, seq, fencingToken, preemptionNoticeS } = heartbeat;
   return {
     kind: 'delta',
--- a/test/job-dependencies.test.ts
+++ b/test/job-dependencies.test.ts
@@ -27,7 +27,7 @@
 const storeOpenJob = (world: SimulatedWorld, spec: JobSpec) =>
   world.state.entries.set(`o/${spec.id}`, {
     value: { s: encodeJobSpec(spec), t: 1e9, w: 'x' },
-    revision: ++world.state.revision,
+    revision: world.state.advanceRevision(),
     hold: null,
   });
 const restartAll = (world: SimulatedWorld, downtimeS = 5) => {
--- a/test/large-fleet.test.ts
+++ b/test/large-fleet.test.ts
@@ -162,7 +162,7 @@
     const world = new SimulatedWorld({}, []);
     world.state.entries.set('m/i-7', {
       value: { t: 'box', z: 'north', s: 0, w: '1.1' },
-      revision: ++world.state.revision,
+      revision: world.state.advanceRevision(),
       hold: null,
     });
     world.start('node-0');
--- a/test/support/fault-observer.ts
+++ b/test/support/fault-observer.ts
@@ -3,6 +3,7 @@
 
 import type { UserResponse } from '../../src/core/base/model.ts';
 import type { MachineId } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import { type HistoryRun, sumOf } from './history-run.ts';
 import { LIMITED_TEAM_CPUS } from './simulated-settings.ts';
 
@@ -20,10 +21,10 @@
 /** Observes one history while it runs. */
 export class FaultObserver {
   /** The leader terms during which completed tasks were observed, by job. */
-  private readonly completionTermsByJob = new Map<string, Set<number>>();
+  private readonly completionTermsByJob = new Map<string, Set<Uint64>>();
   private readonly jobsCompletedOverTerms = new Set<string>();
   private readonly cancelledJobs = new Set<string>();
-  private lastTerm = 0;
+  private lastTerm: Uint64 = 0;
   private readonly termsBeganAt: number[] = [];
   private termBeganAt = 0;
   private wasBusyMachineUnreachableAtTakeover = false;
@@ -85,7 +86,7 @@
     met['leader-ended-machines-away'] = this.wasBusyMachineUnreachableAtTakeover ? 1 : 0;
   }
 
-  private onNewTerm(term: number): void {
+  private onNewTerm(term: Uint64): void {
     const { world, met } = this.run;
     const isFirst = this.lastTerm === 0;
     this.lastTerm = term;
@@ -134,7 +135,7 @@
       met['work-beyond-room']++;
   }
 
-  private observeEndedTasks(term: number): void {
+  private observeEndedTasks(term: Uint64): void {
     for (const machine of this.run.world.workers.values())
       for (const task of machine.tasks.values()) {
         if (task.state !== 'exited' || task.exitReason !== 'done') continue;
--- a/test/support/golden-records.ts
+++ b/test/support/golden-records.ts
@@ -14,6 +14,7 @@
   TeamName,
   ZoneName,
 } from '../../src/types/index.ts';
+import { largerOf } from '../../src/types/uint64.ts';
 import { BehaviourDigest, encoding, storedBytes } from './behaviour-digest.ts';
 import { Operator, team } from './operator.ts';
 import { job, SimulatedWorld } from './simulated-world.ts';
@@ -84,12 +85,12 @@
   const listener = encoding((nowMs, node, bytes) => digest.add(nowMs, node, bytes));
   const world = new SimulatedWorld({}, undefined, listener);
   const entries = lines.map((line): [string, StoredEntry] => {
-    const [key, revision, value] = JSON.parse(line) as [string, number, unknown];
+    const [key, revision, value] = JSON.parse(line) as [string, Revision, unknown];
     return [key, { value, revision, hold: null }];
   });
   const isLeaderRecord = (key: string, value: unknown): boolean =>
     key.startsWith('share/') && (value as { node?: string }).node !== undefined;
-  const lastRevision = Math.max(...entries.map(([, entry]) => entry.revision));
+  const lastRevision = entries.map(([, entry]) => entry.revision).reduce(largerOf);
   world.state.restore(
     lastRevision,
     entries.filter(([key, entry]) => !isLeaderRecord(key, entry.value)),
--- a/test/support/history-run.ts
+++ b/test/support/history-run.ts
@@ -1,6 +1,7 @@
 // State of a running history that its users, faults and observer share.
 import type { seededRandom } from '../../src/runtime/random.ts';
 import type { MachineId } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import { type CombinationCounts, FAULT_COMBINATIONS } from './history-model.ts';
 import { LIMITED_TEAM } from './simulated-settings.ts';
 import type { SimulatedWorld } from './simulated-world.ts';
@@ -19,7 +20,7 @@
   ) {}
 
   /** The leader term recorded in the store; 0 if there is none. */
-  get term(): number {
+  get term(): Uint64 {
     return this.world.recordedLeader?.term ?? 0;
   }
 
--- a/test/support/simulated-controllers.ts
+++ b/test/support/simulated-controllers.ts
@@ -11,14 +11,17 @@
   PeerMessage,
   Settings,
   StoreReply,
+  StoreRequest,
   WorkerReply,
 } from '../../src/core/base/model.ts';
 import { Controller } from '../../src/core/controller.ts';
 import { seededRandom } from '../../src/runtime/random.ts';
+import { stringifyJson } from '../../src/types/exact-json.ts';
 import type { NodeId } from '../../src/types/index.ts';
 import { type EffectOf, InMemoryControllers, TICK_MS } from './in-memory-controllers.ts';
 import type { SimulatedNetwork } from './simulated-network.ts';
 import { settings } from './simulated-settings.ts';
+import type { Transport } from './transport.ts';
 
 /** Receives every effect of a controller before it is carried out. */
 export type EffectListener = (nowMs: number, node: string, effect: Effect) => void;
@@ -43,6 +46,7 @@
   readonly memory: ReadonlyMap<string, number>;
   /** Nodes whose `hello` message is that of a version without support for job dependencies. */
   readonly oldVersionNodes: ReadonlySet<string>;
+  readonly transport: Transport;
 }
 
 const QUEUE_THRESHOLD = 2;
@@ -147,13 +151,18 @@
       'state',
       effect.timeoutMs,
       (respond) =>
-        environment.after(environment.storeDelayMs, () =>
-          environment.state.serve(name, effect.request, respond),
-        ),
+        environment.after(environment.storeDelayMs, () => this.serveStore(name, effect.request, respond)),
       (reply) => onInput({ kind: 'store', tag: effect.tag, reply: reply ?? { kind: 'no-answer' } }),
     );
   }
 
+  private serveStore(name: string, request: StoreRequest, respond: (reply: StoreReply) => void): void {
+    const { state, transport } = this.environment;
+    state.serve(name, transport.storeRequest(request), (reply) =>
+      respond(transport.storeReply(request, reply, state.revision)),
+    );
+  }
+
   private callCloud(name: string, effect: EffectOf<'cloud'>, onInput: (input: Input) => void): void {
     const { network, cloud } = this.environment;
     network.call<CloudReply>(
@@ -166,30 +175,32 @@
   }
 
   private callWorker(name: string, effect: EffectOf<'probe'>, onInput: (input: Input) => void): void {
-    const { network, workers } = this.environment;
+    const { network, workers, transport } = this.environment;
+    const { fencingToken, agentEpoch } = transport.probe(effect);
     const worker = [...workers.values()].find((candidate) => candidate.addr === effect.addr);
     network.call<WorkerReply>(
       name,
       worker?.id ?? '?',
       effect.timeoutMs,
-      (respond) => worker?.handleCommands(effect.fencingToken, effect.agentEpoch, [], respond),
+      (respond) =>
+        worker?.handleCommands(fencingToken, agentEpoch, [], (reply) => respond(transport.probeReply(reply))),
       (reply) => onInput({ kind: 'worker', tag: effect.tag, reply: reply ?? { kind: 'no-answer' } }),
     );
   }
 
   private sendToPeer(name: string, { node, message }: EffectOf<'peer'>): void {
-    const { network, filterPeerMessage, oldVersionNodes } = this.environment;
+    const { network, filterPeerMessage, oldVersionNodes, transport } = this.environment;
     if (filterPeerMessage?.(message) === false) return;
     network.send(name, node, () => {
       const isOldHello = message.kind === 'hello' && oldVersionNodes.has(name);
-      // Copied, so that the receiver shares no memory with the sender.
-      const sent = isOldHello ? withoutLaterFeatures(message) : structuredClone(message);
-      this.input(node, { kind: 'peer', node: name as NodeId, message: sent });
+      const sent = isOldHello ? withoutLaterFeatures(message) : message;
+      const received = transport.peerMessage(sent);
+      this.input(node, { kind: 'peer', node: name as NodeId, message: received });
     });
   }
 
   private log(name: string, { message, fields }: EffectOf<'log'>): void {
     const { logs, now } = this.environment;
-    logs.push(`${(now / 1000).toFixed(2)} ${name} ${message} ${JSON.stringify(fields)}`);
+    logs.push(`${(now / 1000).toFixed(2)} ${name} ${message} ${stringifyJson(fields)}`);
   }
 }
--- a/test/support/simulated-heartbeats.ts
+++ b/test/support/simulated-heartbeats.ts
@@ -5,6 +5,7 @@
 import type { Heartbeat, HeartbeatResponse } from '../../src/core/base/model.ts';
 import type { SimulatedControllers } from './simulated-controllers.ts';
 import type { SimulatedNetwork } from './simulated-network.ts';
+import type { Transport } from './transport.ts';
 
 /** The parts of a simulated world that deliver heartbeats, and the faults that affect them. */
 export interface HeartbeatEnvironment extends SimulationClock {
@@ -17,6 +18,7 @@
   readonly shouldKeepHeartbeat: (() => boolean) | null;
   /** Delay in milliseconds after which a heartbeat is delivered a second time; null for no duplicate. */
   readonly heartbeatCopyDelayMs: (() => number | null) | null;
+  readonly transport: Transport;
 }
 
 /** Whether the machine has already sent a newer heartbeat than this one. */
@@ -78,16 +80,17 @@
     this.deliver(node, heartbeat);
   }
 
-  /** Passes each node a deep copy, so that neither the sender nor another receiver shares its memory. */
   private request(
     node: string,
     heartbeat: Heartbeat,
     onResponse: (response: HeartbeatResponse) => void,
   ): void {
-    this.environment.controllers.request(
+    const { controllers, transport } = this.environment;
+    const received = transport.heartbeat(heartbeat);
+    controllers.request(
       node,
-      (requestId) => ({ kind: 'heartbeat', requestId, heartbeat: structuredClone(heartbeat) }),
-      onResponse,
+      (requestId) => ({ kind: 'heartbeat', requestId, heartbeat: received }),
+      (response: HeartbeatResponse) => onResponse(transport.heartbeatResponse(response)),
     );
   }
 }
--- a/test/support/simulated-tasks.ts
+++ b/test/support/simulated-tasks.ts
@@ -4,6 +4,7 @@
 import type { RunningTask } from '../../packages/local-cluster/src/fake-worker.ts';
 import type { ExitReason, JobSpec } from '../../src/core/base/model.ts';
 import { parseTaskId, type TaskId } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import type { RuleChecker } from './rule-checker.ts';
 import type { SubmittedJob } from './simulated-users.ts';
 
@@ -49,7 +50,7 @@
   /** Starts a task; its initial state is `running`. */
   launch(
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: TaskCallbacks['onExit'],
     onState: TaskCallbacks['onState'],
   ): RunningTask {
@@ -74,7 +75,7 @@
   private joinGang(
     spec: JobSpec,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     runMs: number,
     member: TaskCallbacks,
   ): RunningTask {
--- a/test/support/simulated-world.ts
+++ b/test/support/simulated-world.ts
@@ -20,7 +20,8 @@
   UserResponse,
 } from '../../src/core/base/model.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from '../../src/core/storage/keys.ts';
-import type { JobId, MachineId, MachineTypeName, TaskId, ZoneName } from '../../src/types/index.ts';
+import type { JobId, MachineId, MachineTypeName, Revision, TaskId, ZoneName } from '../../src/types/index.ts';
+import type { Uint64 } from '../../src/types/uint64.ts';
 import { EventQueue } from './event-queue.ts';
 import { PlacementCheck } from './placement-check.ts';
 import type { RuleChecker } from './rule-checker.ts';
@@ -39,6 +40,7 @@
   type SubmittedJob,
   type UserEnvironment,
 } from './simulated-users.ts';
+import { objectTransport, type Transport } from './transport.ts';
 
 export type { EffectListener } from './simulated-controllers.ts';
 export { job, settings } from './simulated-settings.ts';
@@ -107,6 +109,8 @@
   readonly memory = new Map<string, number>();
   readonly oldVersionNodes = new Set<string>();
 
+  /** How messages pass between controllers, store and machines. */
+  transport: Transport = objectTransport;
   readonly network = new SimulatedNetwork(this);
   /** Machines whose heartbeats arrive, while responses and direct commands to them are lost. */
   readonly unreachableMachines = this.network.unreachable;
@@ -213,7 +217,7 @@
    * The leader and its term as recorded in the key-value store, under the leader key for shards with
    * configuration documents or the one for shards without.
    */
-  get recordedLeader(): { node: string; term: number } | null {
+  get recordedLeader(): { node: string; term: Revision } | null {
     for (const key of [CONFIGURED_LEADER_KEY, LEADER_KEY]) {
       const entry = this.state.entries.get(key);
       const node = (entry?.value as { node?: string } | undefined)?.node;
@@ -324,7 +328,7 @@
   launch(
     _worker: FakeWorker,
     task: TaskId,
-    attempt: number,
+    attempt: Uint64,
     onExit: (reason: ExitReason) => void,
     onState: (state: 'waiting' | 'running') => void,
   ): RunningTask {
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -29,7 +29,7 @@
   const world = new SimulatedWorld({ store: LOWER_LIMITS, currentWritesPerS: 40 });
   world.state.limits = { valueBytes: 2048, txnOps: 8 };
   for (const [key, value] of Object.entries({ ...production.records, ...extraRecords })) {
-    world.state.entries.set(key, { value, revision: ++world.state.revision, hold: null });
+    world.state.entries.set(key, { value, revision: world.state.advanceRevision(), hold: null });
     if (key.startsWith('o/')) {
       const { s: spec } = value as unknown as { s: JobSpec };
       world.jobs.set(spec.id, { spec, cancelledAt: null });
@@ -169,7 +169,7 @@
     for (const id of ids) {
       const value = { s: 'done', w: 'x' };
       if (id !== ids[299])
-        world.state.entries.set(`f/${id}`, { value, revision: ++world.state.revision, hold: null });
+        world.state.entries.set(`f/${id}`, { value, revision: world.state.advanceRevision(), hold: null });
     }
     world.runS = 25;
     world.submit(job(ids[299]!));
