Give out attempt numbers that stay in range whatever the store has counted

Cause: an attempt was term x 2^24 + n in a double.

Why it works: a term gives out numbers from ranges that are its own. Below term 2^39 that is the range it had in all versions, so numbers rise whichever version leads and nothing more is stored; beyond it, or when it is used up, the next range is reserved by compare-and-swap under the term before it is used. Each reservation is a change of the store, so no range passes a later leader's. Above 2^53 only numbers of at most 15 significant digits are used, which doubles keep. Tasks that the earlier version has started under rounded numbers are adopted, and later numbers are larger.

--- a/src/core/leader/leader-term.ts
+++ b/src/core/leader/leader-term.ts
@@ -22,6 +22,7 @@
 import type { RecoveryRecord } from '../storage/shard-records.ts';
 import type { Quota } from '../teams/quota.ts';
 import { UsageAccounting } from '../teams/usage-accounting.ts';
+import { AttemptReservation } from './attempt-reservation.ts';
 import { EarlyLeaseRenewal, recordRecovery } from './early-lease-renewal.ts';
 import { Failover } from './failover.ts';
 import { HeartbeatHandler } from './heartbeat-handler.ts';
@@ -82,6 +83,7 @@
   private readonly heartbeatHandler: HeartbeatHandler;
   private readonly overQuotaEviction: OverQuotaEviction;
   private readonly termConfiguration: TermConfiguration;
+  private readonly attemptReservation: AttemptReservation;
   private acceptedJobsWatch: AcceptedJobsWatch | null = null;
   private nextScoreRefreshAt: Instant = LONG_AGO;
 
@@ -103,6 +105,7 @@
     this.failover = new Failover({ io, settings, jobs, machines, machineTypes, progress, registry });
     this.scheduling = this.createScheduling(options);
     this.scheduler = this.scheduling.scheduler;
+    this.attemptReservation = this.createAttemptReservation();
     this.heldResponses = this.createHeldResponses();
     this.heartbeatHandler = this.createHeartbeatHandler(dependencies.lastRecovery);
     this.dependencies = new Dependencies(io, settings, jobs, state.estimates);
@@ -140,6 +143,12 @@
     });
   }
 
+  private createAttemptReservation(): AttemptReservation {
+    const { io, writer, scheduler } = this;
+    const { attempts } = this.state;
+    return new AttemptReservation({ io, writer, attempts, onReserved: () => scheduler.requestCycle() });
+  }
+
   private createHeldResponses(): HeldResponses {
     const { io, machines, scheduler, authority } = this;
     const { heartbeatS } = this.settings.workers;
@@ -214,6 +223,7 @@
   tick(mayCommand: boolean): void {
     if (this.termConfiguration.isInitialRevisionApplied) this.failover.tick(this.authority.holdsLease());
     this.writer.tick();
+    this.attemptReservation.tick();
     this.dependencies.tick();
     this.heartbeatHandler.tick(mayCommand);
     if (!this.failover.isLoaded) return;
--- a/src/core/leader/term-scheduling.ts
+++ b/src/core/leader/term-scheduling.ts
@@ -39,7 +39,7 @@
 /** Creates the scheduler of a new term with its dependencies. */
 export function createTermScheduling(dependencies: TermSchedulingDependencies): TermScheduling {
   const { io, options, state } = dependencies;
-  const { jobs, machines, capacityIndex, quota, estimates, term } = state;
+  const { jobs, machines, capacityIndex, quota, estimates, attempts } = state;
   const binPacking = createBinPacking(dependencies);
   const fairShare = new FairShare(quota.usage);
   const ranking = createRanking(dependencies, fairShare);
@@ -61,7 +61,7 @@
     ranking,
     fairShare,
     options,
-    term,
+    attempts,
     binPacking,
     reservations,
     preemption,
--- a/src/core/leader/term-state.ts
+++ b/src/core/leader/term-state.ts
@@ -12,6 +12,7 @@
 import { MachineRegistry } from '../machines/machine-registry.ts';
 import { MachineTable, type MachineTableListener } from '../machines/machine-table.ts';
 import type { MachineTypeCatalog } from '../machines/machine-type-catalog.ts';
+import { AttemptNumbers } from '../scheduling/attempt-numbers.ts';
 import { FencedWriter, type FencingCondition } from '../storage/fenced-writer.ts';
 import { Quota } from '../teams/quota.ts';
 
@@ -40,6 +41,7 @@
   readonly estimates: RuntimeEstimates;
   readonly ordering: JobOrdering;
   readonly autoscaler: Autoscaler;
+  readonly attempts: AttemptNumbers;
 }
 
 /** Creates the empty tables of a new term. */
@@ -74,5 +76,6 @@
     estimates,
     ordering,
     autoscaler,
+    attempts: new AttemptNumbers(term),
   };
 }
--- a/src/core/scheduling/scheduler.ts
+++ b/src/core/scheduling/scheduler.ts
@@ -1,12 +1,13 @@
 // Runs scheduling cycles: places the tasks of waiting jobs in the order of their ranking. In each group of
 // the ranking, teams and classes below their fair-share floors are served first.
-import { addMs, type Instant, LONG_AGO, type Millis, type Revision } from '../../types/index.ts';
+import { addMs, type Instant, LONG_AGO, type Millis } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import type { JobTable } from '../jobs/job-table.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
 import type { Quota } from '../teams/quota.ts';
+import type { AttemptNumbers } from './attempt-numbers.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import type { FairShare } from './fair-share.ts';
 import { GangScheduler } from './gang-scheduler.ts';
@@ -46,7 +47,7 @@
   ranking: JobRanking;
   fairShare: FairShare;
   options: SchedulerOptions;
-  term: Revision;
+  attempts: AttemptNumbers;
   binPacking: BinPackingScorer;
   reservations: Reservations;
   preemption: Preemption;
@@ -61,19 +62,21 @@
   private readonly machines: MachineTable;
   private readonly ranking: JobRanking;
   private readonly fairShare: FairShare;
+  private readonly attempts: AttemptNumbers;
   private readonly placement: TaskPlacement;
   private readonly queuedTaskReturn: QueuedTaskReturn;
   private options: SchedulerOptions;
 
   constructor(dependencies: SchedulerDependencies) {
-    const { io, machines, capacityIndex, binPacking, reservations, preemption, term } = dependencies;
+    const { io, machines, capacityIndex, binPacking, reservations, preemption, attempts } = dependencies;
     this.io = io;
     this.jobs = dependencies.jobs;
     this.machines = machines;
     this.ranking = dependencies.ranking;
     this.fairShare = dependencies.fairShare;
+    this.attempts = attempts;
     this.options = dependencies.options;
-    const queuing = new TaskQueuing(io, machines, reservations, term);
+    const queuing = new TaskQueuing(io, machines, reservations, attempts);
     const gangs = new GangScheduler({ io, capacityIndex, binPacking, reservations, queuing });
     this.placement = new TaskPlacement(
       { io, capacityIndex, quota: dependencies.quota, binPacking, reservations, preemption, gangs, queuing },
@@ -104,9 +107,13 @@
     return this.placement.machinesExamined + this.queuedTaskReturn.machinesExamined;
   }
 
-  /** Runs a cycle over the waiting jobs if one is requested and due; returns whether it ran. */
+  /**
+   * Runs a cycle over the waiting jobs if one is requested and due, and if there are attempt numbers for all
+   * tasks that it may place; returns whether it ran.
+   */
   runCycle(): boolean {
     if (!this.isCycleRequested || this.io.now < this.nextCycleAt) return false;
+    if (this.attempts.remaining < MAX_TASKS_PER_CYCLE) return false;
     this.isCycleRequested = false;
     this.nextCycleAt = addMs(this.io.now, this.cycleIntervalMs() * this.io.intervalFactor);
     this.queuedTaskReturn.run(this.options.dequeueAfterMs);
--- a/src/core/scheduling/task-queuing.ts
+++ b/src/core/scheduling/task-queuing.ts
@@ -1,30 +1,24 @@
 // Puts tasks into the queues of machines, each under an attempt number that is never used twice for a task.
-import type { Attempt, Revision } from '../../types/index.ts';
-import { toUint64 } from '../../types/uint64.ts';
+import type { Attempt } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import type { Machine } from '../machines/machine.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
+import type { AttemptNumbers } from './attempt-numbers.ts';
 import type { Reservations } from './reservations.ts';
 
-/** Attempt numbers available in each term. */
-const ATTEMPTS_PER_TERM = 2n ** 24n;
-
 /** Queues tasks on machines. */
 export class TaskQueuing {
-  private attemptCount = 0n;
-
   constructor(
     private readonly io: ControllerIo,
     private readonly machines: MachineTable,
     private readonly reservations: Reservations,
-    private readonly term: Revision,
+    private readonly attempts: AttemptNumbers,
   ) {}
 
   /** Returns a new attempt number; attempt numbers increase with the term and within it. */
   nextAttempt(): Attempt {
-    this.attemptCount++;
-    return toUint64(BigInt(this.term) * ATTEMPTS_PER_TERM + this.attemptCount) as Attempt;
+    return this.attempts.take();
   }
 
   /** Puts a waiting task into the machine's queue, and ends the machine's reservation if there is one. */
--- a/src/core/storage/keys.ts
+++ b/src/core/storage/keys.ts
@@ -19,6 +19,9 @@
  */
 export const LAST_RECOVERY_KEY = 'share/read';
 
+/** Up to where attempt numbers are reserved; see storage/shard-records.ts. */
+export const ATTEMPT_RESERVATION_KEY = 'attempts/reserved';
+
 /** Prefix of the configuration documents and of their head; see configuration/documents.ts. */
 export const CONFIG_PREFIX = 'config/';
 /** The newest configuration change. */
--- a/src/core/storage/shard-records.ts
+++ b/src/core/storage/shard-records.ts
@@ -1,8 +1,11 @@
-// Stored form of the shard's records: the leader, the marker that the leader key has moved, and the last
-// failover. No other module uses the field names of the stored form.
+// Stored form of the shard's records: the leader, the marker that the leader key has moved, the last
+// failover, and the reserved attempt numbers. No other module uses the field names of the stored form.
 import type { NodeId, Revision, WallTime } from '../../types/index.ts';
 import type { StoreItem } from '../base/model.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from './keys.ts';
+import { SHARED_RECORD_VERSION } from './shared-record.ts';
+
+const DECIMAL_DIGITS = /^\d{1,20}$/;
 
 /** The leader of the shard. */
 export interface LeaderRecord {
@@ -59,3 +62,24 @@
   const { term, at } = item.value as StoredRecoveryRecord;
   return { term, at };
 }
+
+/** Up to where terms have reserved attempt numbers. */
+export interface AttemptReservationRecord {
+  /** The numbers below are reserved. */
+  end: bigint;
+  /** Revision of the record; 0 if there is none. */
+  revision: Revision;
+}
+
+/** The record as long as no term has reserved numbers. */
+export const NO_ATTEMPTS_RESERVED: AttemptReservationRecord = { end: 0n, revision: 0 as Revision };
+
+/** The stored value, of type SharedRecord: a text, since a store may keep JSON's numbers as doubles. */
+export const encodeAttemptReservation = (end: bigint): { end: string } => ({ end: String(end) });
+
+/** Decodes a stored value; null if its layout is unknown. */
+export function decodeAttemptReservation(item: StoreItem): AttemptReservationRecord | null {
+  const { v, end } = item.value as { v?: unknown; end?: unknown };
+  if (v !== SHARED_RECORD_VERSION || typeof end !== 'string' || !DECIMAL_DIGITS.test(end)) return null;
+  return { end: BigInt(end), revision: item.revision };
+}
