Forward the heartbeat after number 0 in full

What happened: if a worker numbers its heartbeats from 0 and reports to a controller that is not the leader, the leader takes the address, type and zone from its second heartbeat for empty.

Cause: base_seq 0 marks a full heartbeat in frames between controllers, so a delta to heartbeat 0 arrives as a full one without the fields that deltas lack.

Evidence: the new test, with messages encoded as on the wire, fails on the code before: four of six machines have the address ''.

Why it works: such a heartbeat is no base any more, the next one is sent in full; the frames are the same. In attempt-numbers.test.ts machines now begin at 2^63 with their first heartbeat, instead of after it.

--- a/src/core/heartbeats/heartbeat-forwarder.ts
+++ b/src/core/heartbeats/heartbeat-forwarder.ts
@@ -275,9 +275,15 @@
   heartbeat.agentEpoch > other.agentEpoch ||
   (heartbeat.agentEpoch === other.agentEpoch && heartbeat.seq > other.seq);
 
-/** Whether a heartbeat can be sent as a delta to an earlier one. */
+/**
+ * Whether a heartbeat can be sent as a delta to an earlier one. A delta cannot name heartbeat number 0 as its
+ * base: that number marks full heartbeats (peer.proto).
+ */
 const canSendAsDelta = (heartbeat: Heartbeat, base: Heartbeat): boolean =>
-  heartbeat.agentEpoch === base.agentEpoch && heartbeat.seq > base.seq && heartbeat.addr === base.addr;
+  base.seq > 0 &&
+  heartbeat.agentEpoch === base.agentEpoch &&
+  heartbeat.seq > base.seq &&
+  heartbeat.addr === base.addr;
 
 function createDelta(
   heartbeat: Heartbeat,
--- a/test/attempt-numbers.test.ts
+++ b/test/attempt-numbers.test.ts
@@ -54,12 +54,8 @@
   const createMachine = world.createMachine.bind(world);
   world.createMachine = (...args) => {
     const worker = createMachine(...args);
-    const boot = worker.boot.bind(worker);
-    worker.boot = () => {
-      boot();
-      worker.agentEpoch = 2n ** 63n;
-      worker.seq = 2n ** 63n;
-    };
+    worker.agentEpoch = 2n ** 63n;
+    worker.seq = 2n ** 63n;
     return worker;
   };
   const launch = world.launch.bind(world);
--- a/test/heartbeat-forwarding.test.ts
+++ b/test/heartbeat-forwarding.test.ts
@@ -20,6 +20,7 @@
 import type { Attempt, Instant, MachineId, NodeId, Revision, TaskId, WallTime } from '../src/types/index.ts';
 import type { Uint64 } from '../src/types/uint64.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
+import { wireTransport } from './support/transport.ts';
 
 const leaderTermOf = (world: SimulatedWorld): LeaderTerm => world.nodes.get(world.leader!)!.leaderTerm!;
 
@@ -81,6 +82,34 @@
     assert.deepEqual(world.violations, []);
   });
 
+  // Guards against heartbeats that lose the machine's address and type: the frame of a delta to heartbeat 0 is
+  // that of a full heartbeat.
+  it('does not send a delta to heartbeat number 0', () => {
+    const world = new SimulatedWorld();
+    world.transport = wireTransport;
+    const createMachine = world.createMachine.bind(world);
+    world.createMachine = (...args) => {
+      const worker = createMachine(...args);
+      worker.seq = -1;
+      return worker;
+    };
+    world.runS = 30;
+    world.submit(job('run-1', { tasks: 12, cpus: 4 }));
+    const { machines } = leaderTermOf(world);
+    const reportedTwice = (): boolean => {
+      const workers = [...world.workers.values()].filter((worker) => worker.up);
+      return workers.length > 2 && workers.every((worker) => worker.seq === 1);
+    };
+    assert.ok(world.until(reportedTwice, 30), 'no machine has sent two heartbeats');
+    world.run(0.1);
+    const known = [...machines.byId.values()].map(({ addr, type, zone }) => [addr, type.name, zone]);
+    const actual = [...machines.byId.keys()].map((id) => {
+      const { addr, type, zone } = world.workers.get(id)!;
+      return [addr, type, zone];
+    });
+    assert.deepEqual(known, actual);
+  });
+
   it('detects a lost start command from an unchanged delta and sends it again', () => {
     const { world, responses, forward, nextHeartbeat } = leaderWithForwardedMachine();
     const first = nextHeartbeat();
