--- a/test/local-cluster.test.ts
+++ b/test/local-cluster.test.ts
@@ -1,22 +1,19 @@
 // Tests of the local cluster: real controllers, stand-ins on sockets, commands as child processes.
 import assert from 'node:assert/strict';
-import { type ChildProcess, spawn } from 'node:child_process';
 import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, describe, it, type TestContext } from 'node:test';
-import { Client, type JobRequest } from '../packages/client/src/index.ts';
+import { Client } from '../packages/client/src/index.ts';
 import { LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
 import { TaskRunner } from '../packages/local-cluster/src/task-runner.ts';
 import { InvalidSettingsError } from '../src/protocol/settings.ts';
 import type { TaskId } from '../src/types/index.ts';
+import { demoRequest, eventually, PROGRAM, startProgram } from './support/local-cluster-programs.ts';
 
-const PROGRAM = 'target/main.js';
 const dir = mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
 after(() => rmSync(dir, { recursive: true, force: true }));
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
-
 const exists = (pid: number): boolean => {
   try {
     process.kill(pid, 0);
@@ -26,41 +23,6 @@
   }
 };
 
-async function eventually(condition: () => boolean, withinMs = 20_000): Promise<void> {
-  const deadline = Date.now() + withinMs;
-  while (!condition() && Date.now() < deadline) await sleep(20);
-  assert.ok(condition());
-}
-
-/** A started program and its standard output so far. */
-interface RunningProgram {
-  readonly child: ChildProcess;
-  readonly output: () => string;
-  /** Resolves with the exit code when all output was read. */
-  readonly closed: Promise<number | null>;
-}
-
-function startProgram(args: string[]): RunningProgram {
-  const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
-  let output = '';
-  child.stdout!.on('data', (data) => {
-    output += data;
-  });
-  const closed = new Promise<number | null>((resolve) => child.once('close', (code) => resolve(code)));
-  return { child, output: () => output, closed };
-}
-
-/** A job request of the `demo` team, which a cluster has by default. */
-const demoRequest = (imageGb: number): JobRequest => ({
-  team: 'demo',
-  class: 'x',
-  cpus: 1,
-  memoryGb: 1,
-  image: 'i',
-  imageGb,
-  estimateS: 1,
-});
-
 /** A clock that tests advance. */
 class ManualClock {
   now = 0;
