--- a/scripts/experiments/bundle.ts
+++ b/scripts/experiments/bundle.ts
@@ -27,8 +27,9 @@
   'task-list-delta',
   'listing',
   'random',
+  'exact-json',
 ];
-const LIBRARY_FOLDERS = ['src/core', 'src/http', 'src/protocol', 'src/runtime'];
+const LIBRARY_FOLDERS = ['src/core', 'src/http', 'src/protocol', 'src/runtime', 'src/types'];
 
 /** Folders of an earlier revision that an experiment needs: the sources, the runners and their imports. */
 const CHECKED_OUT = ['src', 'scripts', 'test', 'packages'];
--- a/scripts/experiments/hotpath-lib.ts
+++ b/scripts/experiments/hotpath-lib.ts
@@ -9,6 +9,7 @@
 import type * as userResponseCodec from '../../src/protocol/user-response.ts';
 import type * as workerCodec from '../../src/protocol/worker.ts';
 import type * as random from '../../src/runtime/random.ts';
+import type * as exactJson from '../../src/types/exact-json.ts';
 
 /** Exports of a bundled library that are measured. */
 export type Library = Pick<typeof controller, 'Controller'> &
@@ -20,6 +21,7 @@
   Pick<typeof userResponseCodec, 'encodeUserResponse'> &
   Pick<typeof peerCodec, 'encodePeerMessage' | 'PeerDecoder'> &
   Pick<typeof taskListDelta, 'diffTaskLists'> &
+  Pick<typeof exactJson, 'parseJson'> &
   Pick<typeof random, 'seededRandom'>;
 
 /**
--- a/scripts/experiments/hotpath-machines.ts
+++ b/scripts/experiments/hotpath-machines.ts
@@ -181,7 +181,7 @@
     const bytes = httpRequest(body);
     const heartbeat = timer.timeCodec('report', () => {
       const request = new library.HttpParser('request', MAX_REQUEST_BYTES).feed(bytes)[0]!;
-      return library.parseHeartbeat(JSON.parse(request.body.toString('utf8')));
+      return library.parseHeartbeat(library.parseJson(request.body.toString('utf8')));
     });
     environment.input({ kind: 'heartbeat', requestId, heartbeat }, 'report');
   }
--- a/scripts/experiments/hotpath-users.ts
+++ b/scripts/experiments/hotpath-users.ts
@@ -93,7 +93,7 @@
     };
     const bytes = Buffer.from(JSON.stringify(body));
     const spec = environment.timer.timeCodec('submit', () =>
-      environment.library.parseJob(JSON.parse(bytes.toString('utf8'))),
+      environment.library.parseJob(environment.library.parseJson(bytes.toString('utf8'))),
     );
     const requestId = environment.newRequest(() => this.openJobs.push(nameId));
     environment.input({ kind: 'user', requestId, request: { op: 'submit', spec } }, 'submit');
