--- a/packages/local-cluster/src/cluster-storage.ts
+++ b/packages/local-cluster/src/cluster-storage.ts
@@ -4,7 +4,7 @@
 import { ClassicLevel } from 'classic-level';
 import { parseUint64 } from '../../../src/protocol/service-side.ts';
 import { parseJson, stringifyJson } from '../../../src/types/exact-json.ts';
-import type { Revision, StoreLeaseId } from '../../../src/types/index.ts';
+import { NO_REVISION, type Revision, type StoreLeaseId } from '../../../src/types/index.ts';
 import type { FakeStore, StoreChange, StoredEntry } from './fake-store.ts';
 import type { JobDescription } from './task-run.ts';
 
@@ -63,7 +63,7 @@
     for await (const [id, ttlMs] of this.records(LEASE_KEY_PREFIX))
       leases.push([parseUint64(id, 'a lease') as StoreLeaseId, ttlMs as number]);
     const revision = (await this.database.get(STORE_REVISION_KEY)) as Revision | undefined;
-    store.restore(revision ?? (0 as Revision), entries, leases);
+    store.restore(revision ?? NO_REVISION, entries, leases);
     store.onChange = (change) => this.recordChange(change);
   }
 
--- a/packages/local-cluster/src/fake-store.ts
+++ b/packages/local-cluster/src/fake-store.ts
@@ -2,7 +2,7 @@
 // inject.
 import type { StoreItem, StoreReply, StoreRequest } from '../../../src/core/base/model.ts';
 import { stringifyJson } from '../../../src/types/exact-json.ts';
-import type { Revision, StoreLeaseId } from '../../../src/types/index.ts';
+import { NO_REVISION, type Revision, type StoreLeaseId } from '../../../src/types/index.ts';
 import { largerOf, successor } from '../../../src/types/uint64.ts';
 import type { SimulationClock } from './clock.ts';
 import { StoreWatches, type Watch, type WatchedStore, type WatchRequest } from './store-watches.ts';
@@ -44,7 +44,7 @@
   /** All entries, by key. */
   readonly entries = new Map<string, StoredEntry>();
   /** Revision of the newest change. */
-  revision = 0 as Revision;
+  revision = NO_REVISION;
   /** Whether the store is in an outage: every request is refused. */
   down = false;
   /** Nodes whose requests are refused while the store serves the others. */
--- a/packages/local-cluster/src/store-watches.ts
+++ b/packages/local-cluster/src/store-watches.ts
@@ -1,6 +1,6 @@
 // The store's change log, and the watches that wait for new changes.
 import type { StoreItem, StoreReply, StoreRequest } from '../../../src/core/base/model.ts';
-import type { Revision } from '../../../src/types/index.ts';
+import { NO_REVISION, type Revision } from '../../../src/types/index.ts';
 
 /** A request to watch changes. */
 export type WatchRequest = Extract<StoreRequest, { kind: 'watch' }>;
@@ -41,7 +41,7 @@
   private readonly log: LoggedChange[] = [];
   private pendingWatches: Watch[] = [];
   /** Changes up to this revision are not in the log. */
-  private compactedRevision = 0 as Revision;
+  private compactedRevision = NO_REVISION;
 
   constructor(private readonly store: WatchedStore) {}
 
--- a/src/core/admission/fallback-admission.ts
+++ b/src/core/admission/fallback-admission.ts
@@ -2,7 +2,7 @@
 // same record as the leader would, under the same conditions, so that only one of the two writes can succeed.
 // The leader receives the job through its watch on stored jobs (accepted-jobs-watch.ts); a later leader reads
 // it when it loads all stored jobs.
-import type { Revision } from '../../types/index.ts';
+import { NO_REVISION } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { JobSpec, Settings, StorePut, StoreReply, UserResponse } from '../base/model.ts';
 import { retryLater } from '../base/responses.ts';
@@ -113,8 +113,8 @@
 
   private writeRecord(spec: JobSpec, respond: Respond): void {
     const conditions = [
-      { key: OPEN_JOB_PREFIX + spec.id, revision: 0 as Revision },
-      { key: FINAL_STATE_PREFIX + spec.id, revision: 0 as Revision },
+      { key: OPEN_JOB_PREFIX + spec.id, revision: NO_REVISION },
+      { key: FINAL_STATE_PREFIX + spec.id, revision: NO_REVISION },
       // The write fails if the job was checked against an older configuration than the stored one.
       { key: CONFIG_NOTIFICATION_KEY, revision: this.configuration.appliedRevision },
     ];
--- a/src/core/configuration/change-transaction.ts
+++ b/src/core/configuration/change-transaction.ts
@@ -1,7 +1,7 @@
 // Builds the transaction that makes a change of the configuration, and the one that precedes the first
 // change. Pure functions; src/cli sends the transactions.
 import { SwiftfordError } from '../../types/errors.ts';
-import type { Revision } from '../../types/index.ts';
+import { NO_REVISION, type Revision } from '../../types/index.ts';
 import type { StoreCondition, StoreLimits, StorePut } from '../base/model.ts';
 import { jsonBytes } from '../storage/json-size.ts';
 import { CONFIG_HEAD_KEY, CONFIG_NOTIFICATION_KEY, LEADER_KEY } from '../storage/keys.ts';
@@ -40,12 +40,11 @@
  * leader key has to move before the first document is written.
  */
 export function preparationTransaction(id: string, at: number): StoreTransaction {
-  const absent = 0 as Revision;
   const value = encodeHead({ number: 0, id, at });
   return {
     conditions: [
-      { key: CONFIG_HEAD_KEY, revision: absent },
-      { key: CONFIG_NOTIFICATION_KEY, revision: absent },
+      { key: CONFIG_HEAD_KEY, revision: NO_REVISION },
+      { key: CONFIG_NOTIFICATION_KEY, revision: NO_REVISION },
     ],
     puts: [
       { key: CONFIG_HEAD_KEY, value },
--- a/src/core/configuration/configuration.ts
+++ b/src/core/configuration/configuration.ts
@@ -1,7 +1,15 @@
 // The configuration that one controller applies. The controller learns of a newer revision from its watch on
 // the shard and from the messages of other nodes, and then reads the documents from the store. As long as no
 // operator has announced or written documents, this module sends no requests to the store.
-import { addMs, elapsedMs, type Instant, LONG_AGO, type Millis, type Revision } from '../../types/index.ts';
+import {
+  addMs,
+  elapsedMs,
+  type Instant,
+  LONG_AGO,
+  type Millis,
+  NO_REVISION,
+  type Revision,
+} from '../../types/index.ts';
 import { largerOf } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreReply } from '../base/model.ts';
@@ -46,9 +54,9 @@
   /** The settings and documents that this controller acts on. */
   effective: EffectiveConfig;
   /** The revision of the applied documents; 0 if there are none. */
-  appliedRevision = 0 as Revision;
+  appliedRevision = NO_REVISION;
   /** The newest revision that this controller knows of. */
-  newestRevision = 0 as Revision;
+  newestRevision = NO_REVISION;
   /** The time since which a newer revision than the applied one has been known; null if none is known. */
   private laggingSince: Instant | null = null;
   private appliedAt: Instant = LONG_AGO;
--- a/src/core/configuration/documents.ts
+++ b/src/core/configuration/documents.ts
@@ -1,6 +1,6 @@
 // Decodes a snapshot of all configuration documents, and re-exports the document functions that other modules
 // use. Pure functions: configuration.ts and the operators' commands access the store.
-import type { Revision } from '../../types/index.ts';
+import { NO_REVISION } from '../../types/index.ts';
 import type { StoreItem } from '../base/model.ts';
 import { CONFIG_HEAD_KEY } from '../storage/keys.ts';
 import { decodeDocument, decodeHead } from './document-codec.ts';
@@ -17,7 +17,7 @@
 } from './document-types.ts';
 export { type BaseConfig, type EffectiveConfig, overlay } from './effective-config.ts';
 
-const NO_DOCUMENTS: ConfigSnapshot = { revision: 0 as Revision, head: null, documents: [] };
+const NO_DOCUMENTS: ConfigSnapshot = { revision: NO_REVISION, head: null, documents: [] };
 
 /**
  * Decodes the records of a single atomic listing of `CONFIG_PREFIX`. Throws {@link UnreadableDocumentError}.
--- a/src/core/configuration/lag-monitor.ts
+++ b/src/core/configuration/lag-monitor.ts
@@ -1,6 +1,13 @@
 // Tracks the controllers that lag behind the configuration that this one applies, and logs when a controller
 // has lagged for some time and when it has caught up.
-import { elapsedMs, type Instant, type Millis, type NodeId, type Revision } from '../../types/index.ts';
+import {
+  elapsedMs,
+  type Instant,
+  type Millis,
+  NO_REVISION,
+  type NodeId,
+  type Revision,
+} from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { PeerConfigRevision } from '../membership/peer-registry.ts';
 
@@ -29,7 +36,7 @@
       return;
     }
     if (lag === undefined) {
-      this.lags.set(node, { from: revision ?? (0 as Revision), since: this.io.now, isLogged: false });
+      this.lags.set(node, { from: revision ?? NO_REVISION, since: this.io.now, isLogged: false });
       return;
     }
     if (lag.isLogged || this.lagMs(lag) < LOG_DELAY_MS) return;
--- a/src/core/configuration/rollout.ts
+++ b/src/core/configuration/rollout.ts
@@ -2,7 +2,7 @@
 // (docs/safety.md). Only the leader starts tasks, so a revision is in force when the leader has applied it
 // and the last start command under an older revision has reached its machine. The leader records the revision
 // for operators who wait for it, and monitors which nodes lag behind.
-import { addMs, type Instant, type Revision } from '../../types/index.ts';
+import { addMs, type Instant, NO_REVISION, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { PeerConfigRevision } from '../membership/peer-registry.ts';
 import { type FencedWriter, WritePriority } from '../storage/fenced-writer.ts';
@@ -40,7 +40,7 @@
 /** Declares the applied revisions in force during one term. */
 export class Rollout {
   /** The last revision that this term has recorded as in force. */
-  inForceRevision = 0 as Revision;
+  inForceRevision = NO_REVISION;
   private readonly pending: PendingRevision[] = [];
   private isWriting = false;
   private nextLagCheckAt = 0 as Instant;
@@ -130,7 +130,7 @@
   private laggingRevisions(revision: Revision): Record<string, Revision> {
     const lagging: Record<string, Revision> = {};
     for (const peer of this.peerRevisions()) {
-      const applied = peer.revision ?? (0 as Revision);
+      const applied = peer.revision ?? NO_REVISION;
       if (peer.revision === null || applied < revision) lagging[peer.node] = applied;
     }
     return lagging;
--- a/src/core/controller/peer-announcer.ts
+++ b/src/core/controller/peer-announcer.ts
@@ -1,6 +1,6 @@
 // Unsolicited messages to the other controllers: a hello on a new connection or term change, and load
 // reports.
-import type { NodeId, Revision } from '../../types/index.ts';
+import { NO_REVISION, type NodeId, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { PeerMessage } from '../base/model.ts';
 import type { PeerRegistry } from '../membership/peer-registry.ts';
@@ -8,8 +8,6 @@
 /** The message that reports this controller's load to the other controllers. */
 export type LoadMessage = Extract<PeerMessage, { kind: 'load' }>;
 
-const NO_TERM = 0 as Revision;
-
 /** Sends hellos and load messages to the other controllers. */
 export class PeerAnnouncer {
   constructor(
@@ -26,7 +24,7 @@
       message: {
         kind: 'hello',
         node: this.self,
-        leaderTerm: term ?? NO_TERM,
+        leaderTerm: term ?? NO_REVISION,
         supportsDependencies: true,
         supportsForwarding: true,
         supportsConfigDocuments: true,
@@ -44,6 +42,10 @@
    */
   broadcastLoad(load: Omit<LoadMessage, 'kind' | 'leaderTerm'>, term: Revision | null): void {
     for (const node of this.peers.forwardingPeers)
-      this.io.emit({ kind: 'peer', node, message: { kind: 'load', ...load, leaderTerm: term ?? NO_TERM } });
+      this.io.emit({
+        kind: 'peer',
+        node,
+        message: { kind: 'load', ...load, leaderTerm: term ?? NO_REVISION },
+      });
   }
 }
--- a/src/core/heartbeats/heartbeat-relay.ts
+++ b/src/core/heartbeats/heartbeat-relay.ts
@@ -1,8 +1,14 @@
 // Relays heartbeats of agents that cannot reach the leader: when a redirected agent returns, this node sends
 // its heartbeats to the leader over its own link. Agents accept a response with the leader's fencing token
 // from any node, and discard it if it arrives later than 4 s after the heartbeat, like any other response.
-import { addMs, elapsedMs, type Instant, LONG_AGO, type MachineId } from '../../types/index.ts';
-import type { Uint64 } from '../../types/uint64.ts';
+import {
+  addMs,
+  elapsedMs,
+  fencingTokenOf,
+  type Instant,
+  LONG_AGO,
+  type MachineId,
+} from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Heartbeat, HeartbeatResponse } from '../base/model.ts';
 import type { LeaderRecord } from '../membership/leader-election.ts';
@@ -70,7 +76,7 @@
       return false;
     }
     const hasReturned = elapsedMs(now, this.redirectedAt.get(machine) ?? LONG_AGO) < RETURN_WINDOW_MS;
-    if (!hasReturned && (heartbeat.fencingToken as Uint64) !== leader.revision) return false;
+    if (!hasReturned && heartbeat.fencingToken !== fencingTokenOf(leader.revision)) return false;
     if (since === undefined) this.relayedSince.set(machine, now);
     return true;
   }
--- a/src/core/jobs/array-progress.ts
+++ b/src/core/jobs/array-progress.ts
@@ -1,7 +1,7 @@
 // Stores which tasks of open array jobs are done, as bitmaps. Many jobs share a record, because the store
 // limits the number of changes per second; a long bitmap is divided into segments, each of which may be in
 // another record.
-import { type Instant, type JobId, LONG_AGO, type Revision } from '../../types/index.ts';
+import { type Instant, type JobId, LONG_AGO, NO_REVISION, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Settings, StoreItem } from '../base/model.ts';
 import { type FencedWriter, WritePriority } from '../storage/fenced-writer.ts';
@@ -143,7 +143,7 @@
 
   private createRecord(): BitmapRecord {
     const key = `${DONE_BITMAP_PREFIX}${this.term}.${++this.recordsCreated}`;
-    const record = new BitmapRecord(new SharedRecord(this.writer, key, 0 as Revision));
+    const record = new BitmapRecord(new SharedRecord(this.writer, key, NO_REVISION));
     this.records.push(record);
     return record;
   }
--- a/src/core/jobs/job-acceptance.ts
+++ b/src/core/jobs/job-acceptance.ts
@@ -1,6 +1,6 @@
 // Adds jobs to the job table: submitted jobs, which the leader stores first, and jobs that other controllers
 // have stored without the leader.
-import type { JobId, Revision, TeamName, WallTime } from '../../types/index.ts';
+import { type JobId, NO_REVISION, type Revision, type TeamName, type WallTime } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { JobSpec, StoreItem, StorePut, UserResponse } from '../base/model.ts';
 import { retryLater } from '../base/responses.ts';
@@ -81,8 +81,8 @@
     const dependencyParts = puts.length - 1;
     this.writer.write({
       conditions: [
-        { key: OPEN_JOB_PREFIX + spec.id, revision: 0 as Revision },
-        { key: FINAL_STATE_PREFIX + spec.id, revision: 0 as Revision },
+        { key: OPEN_JOB_PREFIX + spec.id, revision: NO_REVISION },
+        { key: FINAL_STATE_PREFIX + spec.id, revision: NO_REVISION },
       ],
       puts,
       deletes: [],
--- a/src/core/leader/early-lease-renewal.ts
+++ b/src/core/leader/early-lease-renewal.ts
@@ -1,6 +1,11 @@
 // Renewal of machines' leases by a new leader before it has read the records (docs/safety.md, point 15).
-import type { FencingToken, Instant, MachineId, Revision } from '../../types/index.ts';
-import type { Uint64 } from '../../types/uint64.ts';
+import {
+  type FencingToken,
+  fencingTokenOf,
+  type Instant,
+  type MachineId,
+  type Revision,
+} from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Settings } from '../base/model.ts';
 import { type FencedWriter, WritePriority } from '../storage/fenced-writer.ts';
@@ -64,7 +69,7 @@
 
   private wasAnsweredByRecoveredLeader(seenToken: FencingToken): boolean {
     if (this.renewalPeriodMs < 0 || this.lastRecovery === null) return false;
-    if (seenToken !== (this.lastRecovery.term as Uint64)) return false;
+    if (seenToken !== fencingTokenOf(this.lastRecovery.term)) return false;
     return this.io.wallTime - this.lastRecovery.at > this.leaseMs + WALL_CLOCK_SKEW_MS;
   }
 }
--- a/src/core/leader/record-loader.ts
+++ b/src/core/leader/record-loader.ts
@@ -5,7 +5,7 @@
   LONG_AGO,
   type MachineId,
   type MachineTypeName,
-  type Revision,
+  NO_REVISION,
 } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { MachineType, Settings, StoreItem, StoreReply } from '../base/model.ts';
@@ -66,7 +66,7 @@
    */
   isUnreadable = false;
   /** The revision as of which jobs were read: jobs recorded after it have not been read. */
-  jobsReadAt = 0 as Revision;
+  jobsReadAt = NO_REVISION;
   private kind: RecordKind = 'machineTypes';
   /** The last key of the previous page; null for the first page of a kind. */
   private afterKey: string | null = null;
--- a/src/core/machines/machine-registry.ts
+++ b/src/core/machines/machine-registry.ts
@@ -1,7 +1,7 @@
 // Registers machines in the store, so that the next leader knows every machine that tasks may be on. One
 // record lists many machines: with one write for each, 1000 machines that boot at the same time would take
 // half a minute to register, and no task can start on a machine before that.
-import { type Instant, LONG_AGO, type MachineId, type Revision } from '../../types/index.ts';
+import { type Instant, LONG_AGO, type MachineId, NO_REVISION, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreItem } from '../base/model.ts';
 import { type FencedWriter, jsonBytes, WritePriority } from '../storage/fenced-writer.ts';
@@ -160,7 +160,7 @@
     onWritten: (isWritten: boolean, record: RegistryRecord) => void,
   ): void {
     const key = `${MACHINE_PREFIX}${this.term}.${++this.recordsCreated}`;
-    const record = new RegistryRecord(new SharedRecord(this.writer, key, 0 as Revision));
+    const record = new RegistryRecord(new SharedRecord(this.writer, key, NO_REVISION));
     for (const member of batch) record.members.set(member.machine.id, member);
     this.records.add(record);
     record.sharedRecord.write(record.encode(), priority, (isWritten) => {
--- a/src/core/machines/machine-table.ts
+++ b/src/core/machines/machine-table.ts
@@ -1,6 +1,12 @@
 // The table of machines in a leader's term: their state, their tasks and their leases.
-import type { FencingToken, Instant, MachineId, Revision, ZoneName } from '../../types/index.ts';
-import type { Uint64 } from '../../types/uint64.ts';
+import {
+  type FencingToken,
+  fencingTokenOf,
+  type Instant,
+  type MachineId,
+  type Revision,
+  type ZoneName,
+} from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Command, Heartbeat, MachineType, Settings } from '../base/model.ts';
 import type { JobTable } from '../jobs/job-table.ts';
@@ -57,7 +63,7 @@
     this.capacityIndex = capacityIndex;
     this.listener = listener;
     this.tombstones = new Tombstones(io);
-    this.fencingToken = dependencies.term as Uint64 as FencingToken;
+    this.fencingToken = fencingTokenOf(dependencies.term);
     const assignments = new MachineAssignments({ io, quota, capacityIndex, listener });
     this.assignments = assignments;
     this.commands = new MachineCommands(io, settings, jobs, assignments);
--- a/src/core/machines/machine-type-catalog.ts
+++ b/src/core/machines/machine-type-catalog.ts
@@ -1,7 +1,7 @@
 // Catalog of the cloud's machine types. Every node requests them from the cloud, and the leader stores them
 // under keys that begin with `t/`, so that the next leader can start work during an outage of the
 // cloud's API.
-import { addMs, type Instant, LONG_AGO, type MachineTypeName, type Revision } from '../../types/index.ts';
+import { addMs, type Instant, LONG_AGO, type MachineTypeName, NO_REVISION } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { CloudReply, MachineType } from '../base/model.ts';
 import { type FencedWriter, WritePriority } from '../storage/fenced-writer.ts';
@@ -76,7 +76,7 @@
       const key = MACHINE_TYPE_PREFIX + type.name;
       const value: MachineTypeRecord = { v: type, w: writeId };
       writer.write({
-        conditions: [{ key, revision: 0 as Revision }],
+        conditions: [{ key, revision: NO_REVISION }],
         puts: [{ key, value }],
         deletes: [],
         verifyKey: key,
--- a/src/core/membership/leader-election.ts
+++ b/src/core/membership/leader-election.ts
@@ -6,6 +6,7 @@
   elapsedMs,
   type Instant,
   LONG_AGO,
+  NO_REVISION,
   type NodeId,
   type Revision,
   type StoreLeaseId,
@@ -72,7 +73,7 @@
   private isCandidate = false;
   private vacantSince: Instant | null = null;
   /** Newest revision at which the store held no leader key: terms that began at or before it have ended. */
-  private vacantAsOf = 0 as Revision;
+  private vacantAsOf = NO_REVISION;
   /**
    * An earlier process of this node ended while it was the leader. The other nodes, which kept running, stand
    * for election first.
--- a/src/core/membership/leader-key.ts
+++ b/src/core/membership/leader-key.ts
@@ -1,12 +1,9 @@
 // Builds the compare-and-swap operations that claim leadership of the shard and that move the leader key.
-import type { NodeId, Revision, StoreLeaseId } from '../../types/index.ts';
+import { NO_REVISION, type NodeId, type Revision, type StoreLeaseId } from '../../types/index.ts';
 import type { StoreCondition, StorePut } from '../base/model.ts';
 import { CONFIG_NOTIFICATION_KEY, CONFIGURED_LEADER_KEY, LEADER_KEY } from '../storage/keys.ts';
 import { encodeLeader, MIGRATION_MARKER } from '../storage/shard-records.ts';
 
-/** As the revision in a condition: the key must not exist. */
-const ABSENT_REVISION = 0 as Revision;
-
 /** Conditions and puts of a compare-and-swap operation on the leader keys. */
 export interface LeaderKeyWrite {
   conditions: StoreCondition[];
@@ -34,9 +31,9 @@
   const { configRevision, isLeaderKeyMigrated } = shard;
   const value = encodeLeader(self);
   const conditions = [{ key: CONFIG_NOTIFICATION_KEY, revision: configRevision }];
-  if (!isLeaderKeyMigrated) conditions.push({ key: LEADER_KEY, revision: ABSENT_REVISION });
+  if (!isLeaderKeyMigrated) conditions.push({ key: LEADER_KEY, revision: NO_REVISION });
   if (configRevision === 0) return { conditions, puts: [{ key: LEADER_KEY, value, lease }] };
-  conditions.push({ key: CONFIGURED_LEADER_KEY, revision: ABSENT_REVISION });
+  conditions.push({ key: CONFIGURED_LEADER_KEY, revision: NO_REVISION });
   const puts: StorePut[] = [{ key: CONFIGURED_LEADER_KEY, value, lease }];
   if (!isLeaderKeyMigrated) puts.push({ key: LEADER_KEY, value: MIGRATION_MARKER });
   return { conditions, puts };
@@ -47,7 +44,7 @@
  * which versions without configuration documents do not read.
  */
 export const buildLeaderKeyMigration = (self: NodeId, lease: StoreLeaseId): LeaderKeyWrite => ({
-  conditions: [{ key: CONFIGURED_LEADER_KEY, revision: ABSENT_REVISION }],
+  conditions: [{ key: CONFIGURED_LEADER_KEY, revision: NO_REVISION }],
   puts: [
     { key: CONFIGURED_LEADER_KEY, value: encodeLeader(self), lease },
     { key: LEADER_KEY, value: MIGRATION_MARKER },
--- a/src/core/membership/shard-watch.ts
+++ b/src/core/membership/shard-watch.ts
@@ -1,7 +1,7 @@
 // Watches the keys of the shard in the store: the leader keys, the record of the last failover, and the
 // notification of the newest configuration change. The keys are listed again whenever the watch may have
 // missed a change.
-import { addMs, type Instant, LONG_AGO, type Millis, type Revision } from '../../types/index.ts';
+import { addMs, type Instant, LONG_AGO, type Millis, NO_REVISION, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreItem, StoreReply } from '../base/model.ts';
 import { StorePriority } from '../base/store-request-budget.ts';
@@ -44,7 +44,7 @@
   /** The last completed failover. */
   lastRecovery: RecoveryRecord | null = null;
   /** Revision of the newest configuration change; 0 if there is none. */
-  configRevision = 0 as Revision;
+  configRevision = NO_REVISION;
   /** The leader key is the one that versions without configuration documents do not read. */
   isLeaderKeyMigrated = false;
   /** Earliest time of the next request after a failure, for the watch and for a candidacy. */
--- a/src/core/storage/fenced-writer.ts
+++ b/src/core/storage/fenced-writer.ts
@@ -1,5 +1,13 @@
 // Executes the leader's writes in batches: one transaction at a time, each conditional on the term.
-import { addMs, elapsedMs, type Instant, LONG_AGO, type Millis, type Revision } from '../../types/index.ts';
+import {
+  addMs,
+  elapsedMs,
+  type Instant,
+  LONG_AGO,
+  type Millis,
+  NO_REVISION,
+  type Revision,
+} from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Settings, StoreLimits, StoreReply } from '../base/model.ts';
 import { StorePriority } from '../base/store-request-budget.ts';
@@ -195,5 +203,5 @@
     return wasCarriedOut ? { kind: 'ok', revision: item.revision } : { kind: 'conflict', item };
   }
   if (reply.kind !== 'missing') return null;
-  return writeId === null ? { kind: 'ok', revision: 0 as Revision } : { kind: 'conflict', item: null };
+  return writeId === null ? { kind: 'ok', revision: NO_REVISION } : { kind: 'conflict', item: null };
 }
--- a/src/core/storage/job-record-reader.ts
+++ b/src/core/storage/job-record-reader.ts
@@ -1,7 +1,7 @@
 // Answers status queries from the store for jobs that this controller does not have in memory. One
 // transaction that only compares finds out for a batch of queries which jobs have a record; these records are
 // then read one by one.
-import type { JobId, Revision } from '../../types/index.ts';
+import { type JobId, NO_REVISION } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Settings, StoreCondition, StoreReply, UserResponse } from '../base/model.ts';
 import { asSubmissionResponse, retryLater } from '../base/responses.ts';
@@ -207,7 +207,7 @@
 
 /** Conditions that hold if a job was never accepted. */
 const neverAcceptedConditions = (id: JobId): StoreCondition[] =>
-  [OPEN_JOB_PREFIX, FINAL_STATE_PREFIX].map((prefix) => ({ key: prefix + id, revision: 0 as Revision }));
+  [OPEN_JOB_PREFIX, FINAL_STATE_PREFIX].map((prefix) => ({ key: prefix + id, revision: NO_REVISION }));
 
 const existingKeys = (reply: StoreReply): Set<string> =>
   new Set(reply.kind === 'conflict' ? reply.failed : []);
--- a/src/core/storage/shard-records.ts
+++ b/src/core/storage/shard-records.ts
@@ -1,6 +1,6 @@
 // Stored form of the shard's records: the leader, the marker that the leader key has moved, the last
 // failover, and the reserved attempt numbers. No other module uses the field names of the stored form.
-import type { NodeId, Revision, WallTime } from '../../types/index.ts';
+import { NO_REVISION, type NodeId, type Revision, type WallTime } from '../../types/index.ts';
 import type { StoreItem } from '../base/model.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from './keys.ts';
 import { SHARED_RECORD_VERSION } from './shared-record.ts';
@@ -72,7 +72,7 @@
 }
 
 /** The record as long as no term has reserved numbers. */
-export const NO_ATTEMPTS_RESERVED: AttemptReservationRecord = { end: 0n, revision: 0 as Revision };
+export const NO_ATTEMPTS_RESERVED: AttemptReservationRecord = { end: 0n, revision: NO_REVISION };
 
 /** The stored value, of type SharedRecord: a text, since a store may keep JSON's numbers as doubles. */
 export const encodeAttemptReservation = (end: bigint): { end: string } => ({ end: String(end) });
--- a/src/core/storage/shared-record.ts
+++ b/src/core/storage/shared-record.ts
@@ -1,6 +1,6 @@
 // A record in the store that combines many small items, and is rewritten as a whole when one of them has
 // changed: the store allows few changes per second, while a value holds several kilobytes.
-import type { Revision } from '../../types/index.ts';
+import { NO_REVISION, type Revision } from '../../types/index.ts';
 import type { FencedWriter } from './fenced-writer.ts';
 
 /**
@@ -42,10 +42,10 @@
       priority,
       onResult: (result) => {
         this.isWriting = false;
-        if (result.kind === 'ok') this.revision = value === null ? (0 as Revision) : result.revision;
+        if (result.kind === 'ok') this.revision = value === null ? NO_REVISION : result.revision;
         // A rejected write has changed nothing in the store, and after the end of the term nothing more is
         // written: the revision stays as it is.
-        else if (result.kind === 'conflict') this.revision = result.item?.revision ?? (0 as Revision);
+        else if (result.kind === 'conflict') this.revision = result.item?.revision ?? NO_REVISION;
         onResult(result.kind === 'ok');
       },
     });
--- a/src/core/teams/usage-accounting.ts
+++ b/src/core/teams/usage-accounting.ts
@@ -2,7 +2,7 @@
 // served least. Totals of ended jobs are stored every few seconds, with many accounts in one value; open jobs
 // are counted from their own records. A new leader continues from the stored totals; they lack only the jobs
 // that ended after the last write.
-import { addMs, type Instant, LONG_AGO, type Revision } from '../../types/index.ts';
+import { addMs, type Instant, LONG_AGO, NO_REVISION, type Revision } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { StoreItem, StoreReply } from '../base/model.ts';
 import { StorePriority } from '../base/store-request-budget.ts';
@@ -159,7 +159,7 @@
     const record = this.records.find((candidate) => candidate.names.size < this.maxAccountsPerRecord);
     if (record !== undefined) return record;
     const key = `${USAGE_PREFIX}${this.term}.${this.records.length + 1}`;
-    const created = new AccountRecord(new SharedRecord(this.writer, key, 0 as Revision));
+    const created = new AccountRecord(new SharedRecord(this.writer, key, NO_REVISION));
     this.records.push(created);
     return created;
   }
--- a/src/types/index.ts
+++ b/src/types/index.ts
@@ -34,6 +34,11 @@
 /** A duration in milliseconds. */
 export type Millis = number;
 
+/** In place of a revision: the key does not exist, or there is no such change or term. */
+export const NO_REVISION = 0 as Revision;
+/** The fencing token of the leader that was elected at this revision. */
+export const fencingTokenOf = (term: Revision): FencingToken => term as Uint64 as FencingToken;
+
 /** An instant later than all others. */
 export const NEVER = Number.POSITIVE_INFINITY as Instant;
 /** An instant earlier than all others. */
--- a/test/failover-placement.test.ts
+++ b/test/failover-placement.test.ts
@@ -3,8 +3,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import type { StoreRequest } from '../src/core/base/model.ts';
-import type { FencingToken, JobId, TeamName, ZoneName } from '../src/types/index.ts';
-import type { Uint64 } from '../src/types/uint64.ts';
+import { fencingTokenOf, type JobId, type TeamName, type ZoneName } from '../src/types/index.ts';
 import { checkRules, cutLeader } from './support/checked-world.ts';
 import { startCheckedLongJob } from './support/long-job.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
@@ -263,7 +262,7 @@
     for (const machineId of world.workers.keys())
       if (machineId !== second!.id) world.cut(machineId, leader, 'drop');
     assert.ok(world.until(() => world.leader !== undefined && world.leader !== leader, 12));
-    const term = world.state.entries.get('share/0')!.revision as Uint64 as FencingToken;
+    const term = fencingTokenOf(world.state.entries.get('share/0')!.revision);
     assert.ok(
       world.until(() => first!.fencingToken === term, 15),
       'the first machine has received the token of the next leader',
