Read a reservation without a value as invalid; say why terms reserve

Found on reading the change once more: a record `attempts/reserved` whose value is null would have ended the controller. No test of its own, as only this program writes the record.

--- a/src/core/scheduling/attempt-numbers.ts
+++ b/src/core/scheduling/attempt-numbers.ts
@@ -8,7 +8,10 @@
  * this on, so ranges of different versions rise with their terms, whichever leads.
  */
 const RANGE_PER_REVISION = 2n ** 24n;
-/** Terms from this one on reserve their ranges: products with their revisions would exceed 64 bits. */
+/**
+ * Terms from this one on reserve their ranges, in the upper half of the numbers: twice as large a revision has
+ * no range below 2^64.
+ */
 const FIRST_RESERVING_TERM = 2n ** 39n;
 /** Reserved ranges begin above those of all smaller terms. */
 const FIRST_RESERVED = FIRST_RESERVING_TERM * RANGE_PER_REVISION;
--- a/src/core/storage/shard-records.ts
+++ b/src/core/storage/shard-records.ts
@@ -79,7 +79,7 @@
 
 /** Decodes a stored value; null if its layout is unknown. */
 export function decodeAttemptReservation(item: StoreItem): AttemptReservationRecord | null {
-  const { v, end } = item.value as { v?: unknown; end?: unknown };
+  const { v, end } = (item.value ?? {}) as { v?: unknown; end?: unknown };
   if (v !== SHARED_RECORD_VERSION || typeof end !== 'string' || !DECIMAL_DIGITS.test(end)) return null;
   return { end: BigInt(end), revision: item.revision };
 }
