Take a task out of its queue when a machine lists it

Cause: a machine that had been given up was adopted from an old report after a change of leader. The report listed a task that the leader had queued on another machine; the task became active, its place in the queue stayed, so when the old epoch ended it was queued a second time and both places were started. A task that is listed as done in this way could wait and run again.

Why it works: MachineAssignments knows the one queue that a task is in, and removes it from there, without letting it wait again, as soon as a machine lists it as present or done.

--- a/src/core/machines/machine-assignments.ts
+++ b/src/core/machines/machine-assignments.ts
@@ -1,6 +1,6 @@
 // Maintains the queues and assignments of machines, and the sums that depend on them: used and queued
 // capacity, tasks of a job by zone, and usage by team.
-import { type Attempt, taskId } from '../../types/index.ts';
+import { type Attempt, type TaskId, taskId } from '../../types/index.ts';
 import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
 import { type Job, type TaskAssignment, TaskPhase } from '../jobs/job.ts';
@@ -15,6 +15,12 @@
   requestCycle(): void;
 }
 
+/** A queued task and the machine whose queue it is in. */
+interface QueuePosition {
+  machine: Machine;
+  queued: QueuedTask;
+}
+
 /** Dependencies of {@link MachineAssignments}. */
 export interface MachineAssignmentsDependencies {
   io: ControllerIo;
@@ -29,6 +35,7 @@
   private readonly quota: Quota;
   private readonly capacityIndex: CapacityIndex;
   private readonly listener: CycleRequester;
+  private readonly queuePositions = new Map<TaskId, QueuePosition>();
 
   constructor(dependencies: MachineAssignmentsDependencies) {
     this.io = dependencies.io;
@@ -42,6 +49,7 @@
     let position = machine.queue.length;
     while (position > 0 && machine.queue[position - 1]!.job.priority < queued.job.priority) position--;
     machine.queue.splice(position, 0, queued);
+    this.queuePositions.set(taskId(queued.job.id, queued.index), { machine, queued });
     queued.job.setPhase(queued.index, TaskPhase.Queued);
     this.adjustQueuedCapacity(machine, queued.job, 1);
     this.capacityIndex.update(machine);
@@ -55,6 +63,19 @@
     this.returnToWaiting(machine, queued);
   }
 
+  /**
+   * Removes a task from the queue that it is in, if any, because a machine has listed it as running or done:
+   * it must neither start nor wait again from there.
+   */
+  removeFromQueue(job: Job, index: number): void {
+    const position = this.queuePositions.get(taskId(job.id, index));
+    if (position === undefined) return;
+    const { machine, queued } = position;
+    machine.queue.splice(machine.queue.indexOf(queued), 1);
+    this.forgetPosition(machine, queued);
+    this.capacityIndex.update(machine);
+  }
+
   /** Returns all tasks in the machine's queue to waiting for placement. */
   dequeueAll(machine: Machine): void {
     for (const queued of machine.queue.splice(0)) this.returnToWaiting(machine, queued);
@@ -62,8 +83,7 @@
 
   /** Removes the first task from the queue in order to start it; the caller must assign it next. */
   takeQueueHead(machine: Machine): void {
-    const { job } = machine.queue.shift()!;
-    this.adjustQueuedCapacity(machine, job, -1);
+    this.forgetPosition(machine, machine.queue.shift()!);
   }
 
   /**
@@ -71,6 +91,7 @@
    * heartbeat whose response starts the task; -1 for a task that the machine listed.
    */
   assign(machine: Machine, job: Job, index: number, attempt: Attempt, sentSeq: Uint64): TaskAssignment {
+    this.removeFromQueue(job, index);
     const assignment: TaskAssignment = {
       job,
       index,
@@ -129,11 +150,17 @@
   }
 
   private returnToWaiting(machine: Machine, queued: QueuedTask): void {
-    this.adjustQueuedCapacity(machine, queued.job, -1);
+    this.forgetPosition(machine, queued);
     queued.job.setPhase(queued.index, TaskPhase.Waiting);
     this.capacityIndex.update(machine);
   }
 
+  /** Records that the task is in the machine's queue no longer. */
+  private forgetPosition(machine: Machine, queued: QueuedTask): void {
+    this.queuePositions.delete(taskId(queued.job.id, queued.index));
+    this.adjustQueuedCapacity(machine, queued.job, -1);
+  }
+
   private adjustQueuedCapacity(machine: Machine, job: Job, sign: 1 | -1): void {
     machine.queuedCpus += job.spec.cpus * sign;
     machine.queuedGpus += job.spec.gpus * sign;
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -200,6 +200,7 @@
     assignment: TaskAssignment | undefined,
   ): void {
     if (exitReason === 'done') {
+      this.assignments.removeFromQueue(job, index);
       this.jobs.completeTask(job, index);
       job.failures.clear();
       machine.consecutiveFailures = 0;
--- a/test/fault-histories.test.ts
+++ b/test/fault-histories.test.ts
@@ -17,12 +17,14 @@
  * Histories that once failed, shrunk by the search. In the first two no leader was elected again. In the
  * third a gang was done on one machine and waited on another. In the fourth a former leader received messages
  * of its peers again, but none saying that one of them was the leader, and started tasks of a cancelled job.
+ * In the fifth an old heartbeat listed a task that was in a machine's queue: it was queued and started twice.
  */
 const formerFailures = [
   `{"seed":1,"nodes":2,"jobs":[{"atS":0,"kind":"array","tasks":1,"runS":30,"limited":false,"chained":false,"cancelAtS":null}],"troubles":[{"kind":"crash-all","backS":0.1,"atS":31.6,"forS":5},{"kind":"late-writes","share":0.9,"atS":34,"forS":1.1},{"kind":"crash-all","backS":0.1,"atS":4,"forS":0.5}]}`,
   `{"seed":1,"nodes":2,"jobs":[{"atS":0,"kind":"array","tasks":1,"runS":30,"limited":false,"chained":false,"cancelAtS":null}],"troubles":[{"kind":"deaf","atS":6,"forS":8,"count":1},{"kind":"crash","who":0,"backS":0.1,"atS":8,"forS":1},{"kind":"late-writes","share":0.9,"atS":4,"forS":20}]}`,
   `{"seed":1,"nodes":2,"jobs":[{"atS":3.3,"kind":"gang","tasks":3,"runS":2,"limited":false,"chained":false,"cancelAtS":null},{"atS":0,"kind":"array","tasks":2,"runS":10,"limited":false,"chained":false,"cancelAtS":null},{"atS":0,"kind":"array","tasks":1,"runS":2,"limited":false,"chained":false,"cancelAtS":null}],"troubles":[{"kind":"refuse-leader","atS":6,"forS":37.9,"hold":false,"peers":true,"side":true},{"kind":"outage","atS":8.9,"forS":35},{"kind":"deaf","atS":27.4,"forS":8,"count":1},{"kind":"crash","who":0,"backS":0.1,"atS":29.4,"forS":1}]}`,
   `{"seed":1,"nodes":3,"bootS":1,"jobs":[{"atS":0,"kind":"array","tasks":1,"runS":100,"limited":false,"chained":false,"cancelAtS":12.3},{"atS":0,"kind":"array","tasks":1,"runS":2,"limited":false,"chained":false,"cancelAtS":null}],"troubles":[{"kind":"refuse-leader","atS":14.2,"forS":38.3,"hold":false,"peers":true,"side":true},{"kind":"outage","atS":17.5,"forS":35},{"kind":"kept-reports","share":0.5,"afterMs":5,"atS":8.4,"forS":30},{"kind":"machine-hang","atS":10.4,"forS":9,"count":1},{"kind":"refuse-leader","atS":14.4,"forS":25,"hold":false,"peers":true,"side":false},{"kind":"mute","atS":15.4,"forS":12,"count":1},{"kind":"deaf","atS":6,"forS":8,"count":1},{"kind":"crash","who":0,"backS":5,"atS":8,"forS":1}]}`,
+  `{"seed":1,"nodes":2,"bootS":1,"jobs":[{"atS":0,"kind":"array","tasks":2,"runS":30,"limited":false,"chained":false,"cancelAtS":null},{"atS":0,"kind":"array","tasks":1,"runS":2,"limited":false,"chained":false,"cancelAtS":null}],"troubles":[{"kind":"quota","afterS":2.5,"cpus":2,"stop":false,"atS":28.1,"forS":0.5},{"kind":"machine-cut","atS":17.5,"forS":13.8,"count":1,"hold":true},{"kind":"crash","who":0,"backS":0.1,"atS":19.5,"forS":1}]}`,
 ];
 
 describe('histories of concurrent faults', () => {
