Reserve the ports of local clusters, so that no two clusters get the same one

Cause: the ports of the controllers were found by listening on port 0 and closing again, and opened by the controllers a second later. In between the system gave them to other clusters or to outgoing connections. A controller of another cluster answers: it accepted this cluster's jobs and ran them on its own machines.

--- a/packages/local-cluster/src/controller-process.ts
+++ b/packages/local-cluster/src/controller-process.ts
@@ -1,23 +1,23 @@
-// Allocates loopback addresses for controllers, and starts a controller as a separate process.
+// Reserves loopback addresses for controllers, and starts a controller as a separate process.
 import { type ChildProcess, spawn } from 'node:child_process';
 import { closeSync, openSync } from 'node:fs';
 import { join } from 'node:path';
-import { freePort } from './json-server.ts';
+import { reservePort } from './port-reservation.ts';
 import type { ProcessGuard } from './process-guard.ts';
 import type { NodeAddress } from './settings-file.ts';
 
 /** The name of the controller with this index. */
 export const controllerName = (index: number): string => `node-${index}`;
 
-/** Allocates free addresses for `count` controllers, and assigns the controllers to the zones in turn. */
+/** Reserves addresses for `count` controllers, and assigns the controllers to the zones in turn. */
 export async function nodeAddresses(count: number, zones: readonly string[]): Promise<NodeAddress[]> {
   const addresses: NodeAddress[] = [];
   for (let index = 0; index < count; index++)
     addresses.push({
       name: controllerName(index),
       location: zones[index % zones.length]!,
-      addr: `127.0.0.1:${await freePort()}`,
-      peer: `127.0.0.1:${await freePort()}`,
+      addr: `127.0.0.1:${await reservePort()}`,
+      peer: `127.0.0.1:${await reservePort()}`,
     });
   return addresses;
 }
--- a/packages/local-cluster/src/errors.ts
+++ b/packages/local-cluster/src/errors.ts
@@ -13,3 +13,8 @@
 export class FaultTargetError extends SwiftfordError {
   readonly code = 'FAULT_TARGET_MISSING';
 }
+
+/** Every port that was tried is in use. */
+export class NoFreePortError extends SwiftfordError {
+  readonly code = 'LOCAL_CLUSTER_NO_FREE_PORT';
+}
--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -6,7 +6,7 @@
 export { type CloudEnvironment, type CloudMachine, FakeCloud } from './fake-cloud.ts';
 export { FakeStore } from './fake-store.ts';
 export { FakeWorker, type RunningTask, type WorkerEnvironment } from './fake-worker.ts';
-export { errorResponse, freePort, type Listening, listen, type RequestHandler } from './json-server.ts';
+export { errorResponse, type Listening, listen, type RequestHandler } from './json-server.ts';
 export { LocalCluster, type LocalClusterSetup } from './local-cluster.ts';
 export {
   defaults,
@@ -16,5 +16,6 @@
   readLocalClusterOptions,
 } from './options.ts';
 export { OutsideServices, type ServiceCounts } from './outside-services.ts';
+export { reservePort } from './port-reservation.ts';
 export { endGroup, ProcessGuard } from './process-guard.ts';
 export { type NodeAddress, settingsFile } from './settings-file.ts';
--- a/packages/local-cluster/src/json-server.ts
+++ b/packages/local-cluster/src/json-server.ts
@@ -80,10 +80,3 @@
     respond(errorResponse(400, error.message));
   }
 }
-
-/** Returns a loopback port that is currently free; another process may take it before it is used. */
-export async function freePort(): Promise<number> {
-  const listening = await listen(0, () => {});
-  listening.close();
-  return Number(listening.addr.split(':')[1]);
-}
--- a/test/local-cluster.test.ts
+++ b/test/local-cluster.test.ts
@@ -5,7 +5,7 @@
 import { join } from 'node:path';
 import { after, describe, it, type TestContext } from 'node:test';
 import { Client } from '../packages/client/src/index.ts';
-import { LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
+import { LocalCluster, readLocalClusterOptions, reservePort } from '../packages/local-cluster/src/index.ts';
 import { TaskRunner } from '../packages/local-cluster/src/task-runner.ts';
 import { InvalidSettingsError } from '../src/protocol/settings.ts';
 import type { TaskId } from '../src/types/index.ts';
@@ -131,7 +131,7 @@
   }
 
   it('leaves no process behind when killed, and after a restart does not repeat completed tasks', async (t) => {
-    const port = 20_000 + (process.pid % 20_000);
+    const port = await reservePort();
     const first = await startCluster(t, port, 'one');
     const pidsFile = join(dir, 'pids');
     const doneJob = { name: 'done', command: `echo once >> ${dir}/once` };
--- a/test/production-version.test.ts
+++ b/test/production-version.test.ts
@@ -7,7 +7,7 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { build } from 'esbuild';
-import { endGroup, freePort, Lab, readLabOptions } from '../packages/local-cluster/src/index.ts';
+import { endGroup, Lab, readLabOptions, reservePort } from '../packages/local-cluster/src/index.ts';
 import { ConfigClient, callStoreOverHttp, storeClient } from '../src/cli/config-client.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from '../src/core/storage/keys.ts';
 import { parseSettings } from '../src/protocol/settings.ts';
@@ -54,8 +54,8 @@
 /** Writes the settings of a controller of the version in production; returns the path of the file. */
 async function writeOldSettings(dir: string, settingsFile: string): Promise<string> {
   const addresses = {
-    bind: `127.0.0.1:${await freePort()}`,
-    internal_addr: `127.0.0.1:${await freePort()}`,
+    bind: `127.0.0.1:${await reservePort()}`,
+    internal_addr: `127.0.0.1:${await reservePort()}`,
   };
   const path = join(dir, 'old.json');
   writeFileSync(path, JSON.stringify({ ...JSON.parse(readFileSync(settingsFile, 'utf8')), ...addresses }));
