--- a/test/counted-store.test.ts
+++ b/test/counted-store.test.ts
@@ -31,7 +31,12 @@
 }
 
 /** Runs an array and a gang to their ends; `onStarted` is called when all their tasks have been started. */
-async function runJobs(cluster: LocalCluster, file: string, onStarted: () => void): Promise<void> {
+async function runJobs(
+  t: TestContext,
+  cluster: LocalCluster,
+  file: string,
+  onStarted: () => void,
+): Promise<void> {
   const request = { ...demoRequest(0), command: 'sleep 2' };
   const jobs = [
     { ...request, name: 'array', tasks: 3 },
@@ -39,7 +44,7 @@
   ];
   writeFileSync(file, JSON.stringify(jobs));
   const runsBefore = cluster.runs.length;
-  const program = startProgram(['run', file, '--lab', cluster.addr, '--json']);
+  const program = startProgram(t, ['run', file, '--lab', cluster.addr, '--json']);
   await eventually(() => cluster.runs.length >= runsBefore + TASKS_PER_ROUND);
   onStarted();
   assert.equal(await program.closed, 0, program.output());
@@ -58,9 +63,9 @@
       const cluster = await startCluster(t, dir, changes);
       const file = join(dir, 'jobs.json');
       for (let failover = 1; failover <= FAILOVERS; failover++)
-        await runJobs(cluster, file, () => killLeader(cluster));
+        await runJobs(t, cluster, file, () => killLeader(cluster));
       const runsBefore = cluster.runs.length;
-      await runJobs(cluster, file, () => {});
+      await runJobs(t, cluster, file, () => {});
       const tasks = new Set(cluster.runs.map((run) => run.task));
       assert.equal(tasks.size, TASKS_PER_ROUND * (FAILOVERS + 1));
       assert.ok(cluster.runs.every((run) => run.attempt < 2n ** 64n));
--- a/test/local-cluster.test.ts
+++ b/test/local-cluster.test.ts
@@ -45,7 +45,7 @@
 }
 
 describe('A local cluster', () => {
-  it('runs each command once though a controller is killed, records output, and leaves no process behind', async () => {
+  it('runs each command once though a controller is killed, records output, and leaves no process behind', async (t) => {
     const cluster = await LocalCluster.start(
       readLocalClusterOptions('t', {
         lab: [{ port: 0, speed: 20 }],
@@ -80,7 +80,7 @@
           { ...request, name: 'last', awaits: ['first'], command: ['sh', '-c', `wc -l < ${runsFile}`] },
         ]),
       );
-      const program = startProgram(['run', jobFile, '--lab', cluster.addr, '--json']);
+      const program = startProgram(t, ['run', jobFile, '--lab', cluster.addr, '--json']);
       await eventually(() => cluster.runs.length >= 3);
       cluster.fault({ kind: 'kill-controller', seconds: 1, count: 1 });
       assert.equal(await program.closed, 0, program.output());
@@ -106,7 +106,7 @@
 
   /** Starts `swiftford lab` with records on disk; returns its process and its controllers' addresses. */
   async function startCluster(t: TestContext, port: number, name: string) {
-    const program = startProgram([
+    const program = startProgram(t, [
       'lab',
       '--port',
       String(port),
@@ -115,17 +115,21 @@
       '--data',
       join(dir, 'data'),
     ]);
-    t.after(() => program.child.kill('SIGKILL'));
     await eventually(() => /try: /.test(program.output()));
     const nodes = [...program.output().matchAll(/node-\d {2}(\S+)/g)].map((match) => match[1]!);
     return { child: program.child, nodes };
   }
 
   /** Runs `swiftford submit` or `run` with one job, and returns the id of the job. */
-  async function submitWith(command: 'submit' | 'run', job: object, port: number): Promise<string> {
+  async function submitWith(
+    t: TestContext,
+    command: 'submit' | 'run',
+    job: object,
+    port: number,
+  ): Promise<string> {
     const file = join(dir, 'kept.json');
     writeFileSync(file, JSON.stringify({ ...demoRequest(0), ...job }));
-    const program = startProgram([command, file, '--lab', `127.0.0.1:${port}`, '--json']);
+    const program = startProgram(t, [command, file, '--lab', `127.0.0.1:${port}`, '--json']);
     await program.closed;
     return JSON.parse(program.output()).id;
   }
@@ -135,12 +139,12 @@
     const first = await startCluster(t, port, 'one');
     const pidsFile = join(dir, 'pids');
     const doneJob = { name: 'done', command: `echo once >> ${dir}/once` };
-    const done = await submitWith('run', doneJob, port);
+    const done = await submitWith(t, 'run', doneJob, port);
     const longJob = {
       name: 'long',
       command: `echo $$ >> ${pidsFile}; sleep 4; echo end >> ${dir}/ends`,
     };
-    const long = await submitWith('submit', longJob, port);
+    const long = await submitWith(t, 'submit', longJob, port);
     const startedPids = (): number[] =>
       existsSync(pidsFile) ? readFileSync(pidsFile, 'utf8').trim().split('\n').map(Number) : [];
     await eventually(() => startedPids().length === 1);
--- a/test/support/local-cluster-programs.ts
+++ b/test/support/local-cluster-programs.ts
@@ -1,6 +1,7 @@
 // Programs of the tests that use a local cluster: they are started as processes, and waited for.
 import assert from 'node:assert/strict';
 import { type ChildProcess, spawn } from 'node:child_process';
+import type { TestContext } from 'node:test';
 import type { JobRequest } from '../../packages/client/src/index.ts';
 
 /** The built program, in the repository's folder. */
@@ -23,9 +24,10 @@
   readonly closed: Promise<number | null>;
 }
 
-/** Starts the program with arguments. */
-export function startProgram(args: string[]): RunningProgram {
+/** Starts the program with arguments; it is killed when the test ends, as its file would not end otherwise. */
+export function startProgram(t: TestContext, args: string[]): RunningProgram {
   const child = spawn(process.execPath, [PROGRAM, ...args], { stdio: ['ignore', 'pipe', 'inherit'] });
+  t.after(() => child.kill('SIGKILL'));
   let output = '';
   child.stdout!.on('data', (data) => {
     output += data;
