Kill a test file that does not end, and fail under its name

A file has ten minutes now; the other files go on, and their results count.

The test of the runner with a file that does not end failed before (unknown option; without the limit the runner does not end).

--- a/scripts/unit.ts
+++ b/scripts/unit.ts
@@ -1,23 +1,34 @@
 // Test runner: runs the test files and fails unless the failing tests are exactly those listed in
-// KNOWN-RED.txt. The output and counts of node:test are printed unchanged.
+// KNOWN-RED.txt. A file that does not end within its time is killed and fails. The output and counts of
+// node:test are printed unchanged.
 import { existsSync, readFileSync } from 'node:fs';
 import type { Readable } from 'node:stream';
 import { run } from 'node:test';
 import { tap } from 'node:test/reporters';
-import { Command } from 'commander';
+import { Command, InvalidArgumentError } from 'commander';
 import { failuresOf, formatKnownRed, type Outcome, parseKnownReds } from './known-red.ts';
 
+/** Time of one test file; one that hangs has to fail before CI ends the whole run. */
+const FILE_LIMIT_S = 600;
+
+function parseSeconds(value: string): number {
+  const seconds = Number(value);
+  if (!(seconds > 0)) throw new InvalidArgumentError('expected a number of seconds above 0');
+  return seconds;
+}
+
 const program = new Command('unit')
   .argument('<files...>', 'test files')
   .option('--known <file>', 'tests that are known to fail', 'KNOWN-RED.txt')
+  .option('--file-limit <seconds>', 'time after which a file is killed and fails', parseSeconds, FILE_LIMIT_S)
   .configureOutput({ outputError: (text, write) => write(text.replace(/^error: /, 'unit: ')) })
   .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : 2))
   .parse();
-const { known: file } = program.opts<{ known: string }>();
+const { known: file, fileLimit } = program.opts<{ known: string; fileLimit: number }>();
 const { known, errors } = parseKnownReds(existsSync(file) ? readFileSync(file, 'utf8') : '');
 
 const outcomes: Outcome[] = [];
-const stream = run({ files: program.args, concurrency: true });
+const stream = run({ files: program.args, concurrency: true, timeout: fileLimit * 1000 });
 // Suites are left out: their outcome follows from the tests in them.
 const recordOutcome =
   (passed: boolean) =>
--- a/test/known-red.test.ts
+++ b/test/known-red.test.ts
@@ -11,6 +11,23 @@
 const sound = { name: 'sound', passed: true };
 const line = (t: string) => `${t} | a leader forgets | issue 35`;
 
+interface RunnerExit {
+  code: number;
+  out: string;
+  err: string;
+}
+
+/** Runs the test runner, and waits until it exits. */
+function runUnit(args: string[]): Promise<RunnerExit> {
+  // Without NODE_TEST_CONTEXT the inner runner does not report to the outer one as its child.
+  const { NODE_TEST_CONTEXT: _, ...env } = process.env;
+  return new Promise((resolve) =>
+    execFile('node', ['--import', 'tsx', 'scripts/unit.ts', ...args], { env }, (error, out, err) =>
+      resolve({ code: error === null ? 0 : Number(error.code), out, err }),
+    ),
+  );
+}
+
 describe('known reds', () => {
   it('a line has test, cause and issue; a malformed line and more than three tests are one-line errors', () => {
     const good = parseKnownReds(`# known\n\n${line('red')}\n`);
@@ -48,19 +65,23 @@
     assert.match(failuresOf([], []).join(), /no test was run/);
   });
 
+  it('a file that does not end is killed and fails under its name, and the other files run', async () => {
+    const limit = ['--file-limit', '3'];
+    const files = ['test/fixtures/hanging/endless.mjs', 'test/fixtures/red/some.mjs'];
+    const { code, out, err } = await runUnit([...limit, '--known', '/dev/null', ...files]);
+    assert.equal(code, 1, err);
+    assert.match(err, /failed, and not a known red: test\/fixtures\/hanging\/endless.mjs\n/);
+    assert.match(out, /test timed out after 3000ms/);
+    assert.match(err, /failed, and not a known red: red\n/);
+  });
+
   it('the runner prints unchanged counts and the known failures, and sets the exit code by the list', async () => {
     const dir = mkdtempSync(join(tmpdir(), 'known-red-'));
-    const unit = (known: string): Promise<{ code: number; out: string; err: string }> =>
-      new Promise((done) => {
-        const file = join(dir, `${known.length}.txt`);
-        writeFileSync(file, known);
-        const args = ['--import', 'tsx', 'scripts/unit.ts', '--known', file, 'test/fixtures/red/some.mjs'];
-        // Without NODE_TEST_CONTEXT the inner runner does not report to the outer one as its child.
-        const { NODE_TEST_CONTEXT: _, ...env } = process.env;
-        execFile('node', args, { env }, (e, out, err) =>
-          done({ code: e === null ? 0 : Number(e.code), out, err }),
-        );
-      });
+    const unit = (known: string): Promise<RunnerExit> => {
+      const file = join(dir, `${known.length}.txt`);
+      writeFileSync(file, known);
+      return runUnit(['--known', file, 'test/fixtures/red/some.mjs']);
+    };
     const [none, listed, twice] = await Promise.all([unit(''), unit(line('red')), unit(line('twin'))]);
     rmSync(dir, { recursive: true });
     assert.deepEqual([none.code, listed.code, twice.code], [1, 0, 1]);
