Read decimal integers and leave queues in one place each

The digits of a 64-bit integer in text were checked by a pattern in two files: `parseDecimal` stands beside Uint64 now. `AttemptReservation.onReserved` was not needed, as a cycle that waits for numbers stays requested.

--- a/src/core/leader/attempt-reservation.ts
+++ b/src/core/leader/attempt-reservation.ts
@@ -23,8 +23,6 @@
   io: ControllerIo;
   writer: FencedWriter;
   attempts: AttemptNumbers;
-  /** Called when numbers have been reserved. */
-  onReserved: () => void;
 }
 
 /**
@@ -38,13 +36,11 @@
   private readonly io: ControllerIo;
   private readonly writer: FencedWriter;
   private readonly attempts: AttemptNumbers;
-  private readonly onReserved: () => void;
 
   constructor(dependencies: AttemptReservationDependencies) {
     this.io = dependencies.io;
     this.writer = dependencies.writer;
     this.attempts = dependencies.attempts;
-    this.onReserved = dependencies.onReserved;
   }
 
   /** Reserves a range if few numbers remain. */
@@ -84,7 +80,6 @@
   private onRecorded(range: AttemptRange): void {
     this.attempts.add(range);
     this.io.log('info', 'attempt numbers reserved', { from: String(range.start), to: String(range.end) });
-    this.onReserved();
   }
 
   private end(): void {
--- a/src/core/leader/leader-term.ts
+++ b/src/core/leader/leader-term.ts
@@ -144,9 +144,8 @@
   }
 
   private createAttemptReservation(): AttemptReservation {
-    const { io, writer, scheduler } = this;
-    const { attempts } = this.state;
-    return new AttemptReservation({ io, writer, attempts, onReserved: () => scheduler.requestCycle() });
+    const { io, writer } = this;
+    return new AttemptReservation({ io, writer, attempts: this.state.attempts });
   }
 
   private createHeldResponses(): HeldResponses {
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -130,6 +130,7 @@
       machine.orphans.push({ task, attempt });
       return null;
     }
+    this.assignments.removeFromQueue(job, index);
     const assignment = this.assignments.assign(machine, job, index, attempt, -1);
     if (job.spec.kind === 'gang') job.gangAttempt ??= attempt;
     return assignment;
--- a/src/core/storage/shard-records.ts
+++ b/src/core/storage/shard-records.ts
@@ -1,12 +1,11 @@
 // Stored form of the shard's records: the leader, the marker that the leader key has moved, the last
 // failover, and the reserved attempt numbers. No other module uses the field names of the stored form.
 import { NO_REVISION, type NodeId, type Revision, type WallTime } from '../../types/index.ts';
+import { parseDecimal } from '../../types/uint64.ts';
 import type { StoreItem } from '../base/model.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from './keys.ts';
 import { SHARED_RECORD_VERSION } from './shared-record.ts';
 
-const DECIMAL_DIGITS = /^\d{1,20}$/;
-
 /** The leader of the shard. */
 export interface LeaderRecord {
   node: NodeId;
@@ -80,6 +79,7 @@
 /** Decodes a stored value; null if its layout is unknown. */
 export function decodeAttemptReservation(item: StoreItem): AttemptReservationRecord | null {
   const { v, end } = (item.value ?? {}) as { v?: unknown; end?: unknown };
-  if (v !== SHARED_RECORD_VERSION || typeof end !== 'string' || !DECIMAL_DIGITS.test(end)) return null;
-  return { end: BigInt(end), revision: item.revision };
+  const reservedEnd = typeof end === 'string' ? parseDecimal(end) : null;
+  if (v !== SHARED_RECORD_VERSION || reservedEnd === null) return null;
+  return { end: reservedEnd, revision: item.revision };
 }
--- a/src/protocol/service-side.ts
+++ b/src/protocol/service-side.ts
@@ -1,10 +1,8 @@
 // Code shared by the server sides of the store and cloud protocols (store-service.ts, cloud-service.ts).
 import { stringifyJson } from '../types/exact-json.ts';
-import { isUint64, toUint64, UINT64_MAX, type Uint64 } from '../types/uint64.ts';
+import { parseDecimal, toUint64, UINT64_MAX, type Uint64 } from '../types/uint64.ts';
 import { asObject, InvalidMessageError, type JsonObject } from './json-fields.ts';
 
-const DECIMAL_DIGITS = /^\d{1,20}$/;
-
 /** An encoded HTTP response of a service. */
 export interface EncodedReply {
   status: number;
@@ -44,10 +42,10 @@
 
 /** An integer below 2^64 in a path or query; `name` names it in the `InvalidMessageError`. */
 export function parseUint64(text: string | undefined, name: string): Uint64 {
-  const value = text !== undefined && DECIMAL_DIGITS.test(text) ? toUint64(BigInt(text)) : null;
-  if (!isUint64(value))
+  const integer = parseDecimal(text ?? '');
+  if (integer === null || integer > UINT64_MAX)
     throw new InvalidMessageError(`${name} must be a whole number from 0 to ${UINT64_MAX}`);
-  return value;
+  return toUint64(integer);
 }
 
 /** A non-negative number from the query parameter `name`; 0 if it is missing. */
--- a/src/types/uint64.ts
+++ b/src/types/uint64.ts
@@ -18,6 +18,9 @@
   return typeof value === 'bigint' && value > Number.MAX_SAFE_INTEGER && value <= UINT64_MAX;
 }
 
+/** The integer with these decimal digits; null if the text is not of 1 to 20 digits. */
+export const parseDecimal = (text: string): bigint | null => (/^\d{1,20}$/.test(text) ? BigInt(text) : null);
+
 /** The next larger integer. */
 export const successor = (value: Uint64): Uint64 => toUint64(BigInt(value) + 1n);
 
