Read an unreadable record of reserved attempt numbers again

Cause: AttemptReservation returned from an invalid record with `isReserving` still set, so its tick did nothing more in that term.

Why it works: the attempt ends like every other one, and the next follows after 10 s. Whatever the record says then is reserved under the same condition as before.

--- a/src/core/leader/attempt-reservation.ts
+++ b/src/core/leader/attempt-reservation.ts
@@ -17,6 +17,8 @@
 /** A range is reserved when fewer numbers remain: enough for several scheduling cycles. */
 const LOW_REMAINING = 1000;
 const RETRY_DELAY_MS = 250;
+/** Delay after a record that an operator has to restore. */
+const INVALID_RECORD_DELAY_MS = 10_000;
 
 /** Dependencies of {@link AttemptReservation}. */
 export interface AttemptReservationDependencies {
@@ -58,12 +60,13 @@
     else this.end();
   }
 
-  /** Reserves the range after the reserved ones. Without a valid record, or numbers left, none ever is. */
+  /** Reserves the range after the reserved ones. Without a valid record, or numbers left, none is. */
   private reserveAfter(reserved: AttemptReservationRecord | null): void {
     const range = reserved === null ? null : this.attempts.nextRange(reserved.end);
     if (reserved === null || range === null) {
       const key = ATTEMPT_RESERVATION_KEY;
       this.io.log('error', 'no attempt numbers can be reserved; nothing is started', { key });
+      this.end(INVALID_RECORD_DELAY_MS);
       return;
     }
     this.record(range, reserved.revision);
@@ -82,8 +85,8 @@
     this.io.log('info', 'attempt numbers reserved', { from: String(range.start), to: String(range.end) });
   }
 
-  private end(): void {
+  private end(retryDelayMs = RETRY_DELAY_MS): void {
     this.isReserving = false;
-    this.retryAt = addMs(this.io.now, RETRY_DELAY_MS);
+    this.retryAt = addMs(this.io.now, retryDelayMs);
   }
 }
--- a/test/attempt-numbers.test.ts
+++ b/test/attempt-numbers.test.ts
@@ -216,6 +216,32 @@
     assert.deepEqual(world.violations, []);
   });
 
+  for (const value of [null, 'x', { v: 99, end: '1' }, { v: 1 }, { v: 1, end: 7 }, { v: 1, end: '-1' }])
+    it(`are given out once the record of reserved numbers is readable, and not while it is ${JSON.stringify(value)}`, () => {
+      const { world, starts } = worldAt(2n ** 63n);
+      world.runS = 1000;
+      const setRecord = (newValue: unknown) =>
+        world.state.entries.set(ATTEMPT_RESERVATION_KEY, {
+          value: newValue,
+          revision: world.state.advanceRevision(),
+          hold: null,
+        });
+      setRecord(value);
+      world.submit(arrayJob);
+      world.run(60);
+      assert.equal(starts.length, 0, 'nothing is started');
+      assert.ok(world.logs.some((line) => line.includes('no attempt numbers can be reserved')));
+      setRecord({ v: 1, end: String(2n ** 63n + 2n ** 31n) });
+      const { leader } = world;
+      assert.ok(
+        world.until(() => isRunning(world, arrayJob), 30),
+        'not started',
+      );
+      assert.equal(world.leader, leader, 'without a failover');
+      assert.ok(starts.every((start) => start.attempt > 2n ** 63n + 2n ** 31n));
+      assert.deepEqual(world.violations, []);
+    });
+
   it('of an earlier version that has rounded them are adopted, and later ones are larger', () => {
     const { world, starts } = worldAt(2n ** 29n + 1000n);
     world.cloud.capacity = 0;
