--- a/packages/local-cluster/src/index.ts
+++ b/packages/local-cluster/src/index.ts
@@ -2,7 +2,6 @@
 export type { SimulationClock } from './clock.ts';
 export type { Controller } from './controller-group.ts';
 export { nodeAddresses, spawnController } from './controller-process.ts';
-export * from './deprecated.ts';
 export { type CloudEnvironment, type CloudMachine, FakeCloud } from './fake-cloud.ts';
 export { FakeStore } from './fake-store.ts';
 export { FakeWorker, type RunningTask, type WorkerEnvironment } from './fake-worker.ts';
--- a/scripts/experiments/client.ts
+++ b/scripts/experiments/client.ts
@@ -7,7 +7,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
-import { type Fault, Lab, readLabOptions } from '../../packages/local-cluster/src/index.ts';
+import { type Fault, LocalCluster, readLocalClusterOptions } from '../../packages/local-cluster/src/index.ts';
 import { seededRandom } from '../../src/runtime/random.ts';
 import { ClientAudit, type ReportedOutcome } from './client-audit.ts';
 
@@ -41,8 +41,8 @@
 
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
-const cluster = await Lab.start(
-  readLabOptions('(experiment)', {
+const cluster = await LocalCluster.start(
+  readLocalClusterOptions('(experiment)', {
     lab: [{ port: 0, speed: 10, seed: Number(values.seed) }],
     team: { demo: [{}] },
     type: { small: [{ cpus: 8, memory_gb: 64, boot_s: 10, count: 10, spot: 10 }] },
--- a/scripts/experiments/submission-load.ts
+++ b/scripts/experiments/submission-load.ts
@@ -11,7 +11,7 @@
 import { build } from 'hdr-histogram-js';
 import { bodyOf, newId } from '../../packages/client/src/request.ts';
 import { Session } from '../../packages/client/src/session.ts';
-import { Lab, readLabOptions } from '../../packages/local-cluster/src/index.ts';
+import { LocalCluster, readLocalClusterOptions } from '../../packages/local-cluster/src/index.ts';
 import { HttpClient } from '../../src/http/client.ts';
 import { seededRandom } from '../../src/runtime/random.ts';
 import { FailedRunError } from '../errors.ts';
@@ -84,8 +84,8 @@
 const clientMemoryMb = measureClientMemoryMb(OPEN_JOBS);
 
 const dir = mkdtempSync(join(tmpdir(), 'swiftford-load-'));
-const cluster = await Lab.start(
-  readLabOptions('(experiment)', {
+const cluster = await LocalCluster.start(
+  readLocalClusterOptions('(experiment)', {
     lab: [{ port: 0, speed: 20 }],
     team: { demo: [{}] },
     type: { small: [{ cpus: 64, memory_gb: 512, count: 20 }] },
--- a/src/cli/local-cluster-command.ts
+++ b/src/cli/local-cluster-command.ts
@@ -3,7 +3,12 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { defaults, Lab, type LabOptions, readLabOptions } from '../../packages/local-cluster/src/index.ts';
+import {
+  defaults,
+  LocalCluster,
+  type LocalClusterOptions,
+  readLocalClusterOptions,
+} from '../../packages/local-cluster/src/index.ts';
 import { InvalidSettingsError } from '../protocol/settings.ts';
 import { parseHcl, readText } from './files.ts';
 import {
@@ -51,10 +56,10 @@
   fileURLToPath(new URL('./main.js', import.meta.url)),
 ];
 
-async function resolveOptions(flags: LocalClusterFlags): Promise<LabOptions> {
+async function resolveOptions(flags: LocalClusterFlags): Promise<LocalClusterOptions> {
   const { options: file } = flags;
   const options =
-    file === undefined ? defaults() : readLabOptions(file, await parseHcl(file, readText(file)));
+    file === undefined ? defaults() : readLocalClusterOptions(file, await parseHcl(file, readText(file)));
   if (flags.port === undefined) return options;
   const port = Number(flags.port);
   if (!Number.isInteger(port) || port < 0 || port > MAX_PORT)
@@ -70,7 +75,7 @@
   const dir = flags.dir ?? mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
   const log = (line: string): void => print(`${new Date().toISOString().slice(11, 19)}  ${line}`);
   const data = flags.data === undefined ? {} : { data: flags.data };
-  const cluster = await Lab.start(options, { program: controllerCommandLine(), dir, log, ...data });
+  const cluster = await LocalCluster.start(options, { program: controllerCommandLine(), dir, log, ...data });
   let isStopping = false;
   const stop = async (): Promise<void> => {
     if (isStopping) return;
@@ -90,7 +95,7 @@
   printCluster(cluster, dir);
 }
 
-function printCluster(cluster: Lab, dir: string): void {
+function printCluster(cluster: LocalCluster, dir: string): void {
   const { addr, controllers } = cluster;
   print(`local cluster at ${addr}; commands of jobs run under your user account, without isolation`);
   for (const controller of controllers) print(`  ${controller.name}  ${controller.addr}`);
--- a/test/client-commands.test.ts
+++ b/test/client-commands.test.ts
@@ -1,6 +1,5 @@
 // Tests of the client library and its commands with real sockets, files and processes.
 import assert from 'node:assert/strict';
-import { type ChildProcess, spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -10,6 +9,7 @@
 import { REQUEST, Service } from '../packages/client/test/support.ts';
 import { fromJson } from '../src/cli/job-file.ts';
 import { serveHttp } from '../src/http/server.ts';
+import { runProgram, startProgram } from './support/programs.ts';
 
 interface ServedService {
   service: Service;
@@ -48,32 +48,6 @@
   };
 }
 
-interface Exit {
-  code: number | null;
-  stdout: string;
-  stderr: string;
-}
-
-/** Starts the program. */
-function spawnSwiftford(args: string[]): { child: ChildProcess; exited: Promise<Exit> } {
-  const child = spawn(process.execPath, ['target/main.js', ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
-  let stdout = '';
-  child.stdout.on('data', (data) => {
-    stdout += data;
-  });
-  let stderr = '';
-  child.stderr.on('data', (data) => {
-    stderr += data;
-  });
-  const exited = new Promise<Exit>((resolve) =>
-    child.once('close', (code) => resolve({ code, stdout, stderr })),
-  );
-  return { child, exited };
-}
-
-/** Runs the program and waits until it exits. */
-const swiftford = (...args: string[]): Promise<Exit> => spawnSwiftford(args).exited;
-
 /** Creates a directory that is removed when the test ends. */
 function temporaryDirectory(t: TestContext): string {
   const dir = mkdtempSync(join(tmpdir(), 'swiftford-'));
@@ -94,13 +68,13 @@
     }));
     writeFileSync(file, jobs.map((job) => JSON.stringify(job)).join('\n'));
     const args = ['run', file, '--node', served.addr, '--outbox', outbox, '--json'];
-    const first = spawnSwiftford(args);
+    const first = startProgram(t, args);
     served.onSubmission((count) => count === 9 && first.child.kill('SIGKILL'));
     await first.exited;
     served.onSubmission(() => {});
     const submittedBefore = [...served.service.jobs.keys()];
     assert.ok(submittedBefore.length >= 8);
-    const second = await swiftford(...args);
+    const second = await runProgram(t, ...args);
     assert.equal(second.code, 4, second.stderr);
     const printed = second.stdout
       .trim()
@@ -117,7 +91,7 @@
     for (const id of submittedBefore) assert.ok(printed.some((job) => job.id === id));
     // The third run reads all outcomes from the outbox and sends nothing: the service is closed.
     served.close();
-    const third = await swiftford(...args);
+    const third = await runProgram(t, ...args);
     assert.deepEqual(
       [third.code, third.stdout.trim().split('\n').sort()],
       [4, second.stdout.trim().split('\n').sort()],
@@ -133,26 +107,26 @@
     const block = (name: string, more: string): string =>
       `job "${name}" {\n team = "vision"\n class = "train"\n cpus = 2\n memoryGb = 4\n image = "i"\n imageGb = 1\n estimateS = 5\n${more}}\n`;
     writeFileSync(hcl, block('last', 'awaits = ["first"]\n') + block('first', ''));
-    const pipeline = await swiftford('run', hcl, '--node', served.addr);
+    const pipeline = await runProgram(t, 'run', hcl, '--node', served.addr);
     assert.equal(pipeline.code, 0, pipeline.stderr);
     assert.match(pipeline.stdout, /first {2}done\n.*last {2}done\n/);
     writeFileSync(hcl, block('a', 'awaits = ["b"]\n') + block('b', 'awaits = ["a"]\n'));
-    const cycle = await swiftford('run', hcl, '--node', served.addr);
+    const cycle = await runProgram(t, 'run', hcl, '--node', served.addr);
     assert.deepEqual([cycle.code, served.service.jobs.size], [2, 2]);
     assert.match(cycle.stderr, /a -> b -> a|b -> a -> b/);
     const oneJob = join(dir, 'one.json');
     writeFileSync(oneJob, JSON.stringify(REQUEST));
-    const submitted = await swiftford('submit', oneJob, '--node', served.addr, '--json');
+    const submitted = await runProgram(t, 'submit', oneJob, '--node', served.addr, '--json');
     const { id, kind } = JSON.parse(submitted.stdout);
     assert.equal(kind, 'accepted');
-    const watched = await swiftford('watch', id, '--node', served.addr);
+    const watched = await runProgram(t, 'watch', id, '--node', served.addr);
     assert.deepEqual([watched.code, watched.stdout.trim().split('\n').at(-1)], [0, `${id}  done`]);
-    const cancelled = await swiftford('cancel', id, '--node', served.addr);
+    const cancelled = await runProgram(t, 'cancel', id, '--node', served.addr);
     assert.deepEqual([cancelled.code, cancelled.stdout], [0, `${id}  done\n`]);
-    const unknown = await swiftford('watch', 'run-nobody', '--node', served.addr);
+    const unknown = await runProgram(t, 'watch', 'run-nobody', '--node', served.addr);
     assert.equal(unknown.code, 4);
     served.close();
-    const unreachable = await swiftford('submit', oneJob, '--node', served.addr, '--accept-within', '1');
+    const unreachable = await runProgram(t, 'submit', oneJob, '--node', served.addr, '--accept-within', '1');
     assert.equal(unreachable.code, 5, unreachable.stderr);
     assert.match(unreachable.stdout, /given up: .* did not answer; submit it again under the id run-/);
     const node = ['--node', '127.0.0.1:1'];
@@ -163,7 +137,7 @@
       [['watch', 'x', ...node], /^swiftford: x: a job id looks like run-000412\n$/],
       [['submit', oneJob], /^swiftford: name the nodes with --node/],
     ] as const) {
-      const exit = await swiftford(...args);
+      const exit = await runProgram(t, ...args);
       assert.equal(exit.code, 2);
       assert.match(exit.stderr, message);
     }
@@ -174,14 +148,17 @@
     const file = join(temporaryDirectory(t), 'one.json');
     writeFileSync(file, JSON.stringify(REQUEST));
     for (const option of ['--local-cluster', '--lab']) {
-      const submitted = await swiftford('submit', file, option, '127.0.0.1:1');
+      const submitted = await runProgram(t, 'submit', file, option, '127.0.0.1:1');
       assert.deepEqual(submitted, {
         code: 1,
         stdout: '',
         stderr: 'swiftford: there is no lab at 127.0.0.1:1; start one with swiftford lab\n',
       });
     }
-    const [current, alias] = [await swiftford('local-cluster', '--help'), await swiftford('lab', '--help')];
+    const [current, alias] = [
+      await runProgram(t, 'local-cluster', '--help'),
+      await runProgram(t, 'lab', '--help'),
+    ];
     assert.equal(current.code, 0);
     assert.deepEqual(current, alias);
   });
--- a/test/config-command.test.ts
+++ b/test/config-command.test.ts
@@ -1,12 +1,11 @@
 // Tests of configuration changes by operators: lost responses, late transactions, conflicts, invalid files,
 // and the command `config` on a local cluster.
 import assert from 'node:assert/strict';
-import { spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it, type TestContext } from 'node:test';
-import { FakeState, Lab, readLabOptions } from '../packages/local-cluster/src/index.ts';
+import { FakeStore, LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
 import {
   type Applied,
   type CallStore,
@@ -25,6 +24,7 @@
 import type { Revision } from '../src/types/index.ts';
 import { EventQueue } from './support/event-queue.ts';
 import { team } from './support/operator.ts';
+import { PROGRAM, runProgram } from './support/programs.ts';
 import { SimulatedWorld, settings } from './support/simulated-world.ts';
 
 /**
@@ -32,7 +32,7 @@
  * sleeps and by `advance`.
  */
 function storeWithClient(): {
-  store: FakeState;
+  store: FakeStore;
   client: ConfigClient;
   advance: (ms: number) => void;
 } {
@@ -41,7 +41,7 @@
     now: 0,
     after: (ms: number, run: () => void) => events.add(clock.now + ms, run),
   };
-  const store = new FakeState(clock);
+  const store = new FakeStore(clock);
   const revision = 1 as Revision;
   store.restore(revision, [[LEADER_KEY, { value: { moved: 'share/1' }, revision, hold: null }]], []);
   const advance = (ms: number): void => {
@@ -240,13 +240,13 @@
  */
 async function startCluster(t: TestContext) {
   const dir = mkdtempSync(join(tmpdir(), 'swiftford-config-'));
-  const options = readLabOptions('t', {
+  const options = readLocalClusterOptions('t', {
     lab: [{ port: 0, controllers: 2, speed: 20 }],
     workers: [{ report_s: 0.5 }],
     team: { demo: [{ cpus_max: 8 }] },
   });
-  const program = [process.execPath, 'target/main.js'];
-  const cluster = await Lab.start(options, { program, dir, log: () => {} });
+  const program = [process.execPath, PROGRAM];
+  const cluster = await LocalCluster.start(options, { program, dir, log: () => {} });
   t.after(async () => {
     await cluster.stop();
     rmSync(dir, { recursive: true, force: true });
@@ -256,21 +256,14 @@
     writeFileSync(join(dir, name), text);
     return join(dir, name);
   };
-  const config = (...args: string[]) => runConfig([...args, '--config', join(dir, 'node-0.json')]);
+  const config = (...args: string[]) => runConfig(t, [...args, '--config', join(dir, 'node-0.json')]);
   return { dir, cluster, writeFile, config };
 }
 
 /** Runs `swiftford config`; `output` is its standard output and standard error. */
-function runConfig(args: string[]): Promise<{ code: number | null; output: string }> {
-  return new Promise((resolve) => {
-    const child = spawn(process.execPath, ['target/main.js', 'config', ...args]);
-    let output = '';
-    for (const stream of [child.stdout, child.stderr])
-      stream.on('data', (data) => {
-        output += data;
-      });
-    child.once('exit', (code) => resolve({ code, output }));
-  });
+async function runConfig(t: TestContext, args: string[]): Promise<{ code: number | null; output: string }> {
+  const { code, stdout, stderr } = await runProgram(t, 'config', ...args);
+  return { code, output: stdout + stderr };
 }
 
 describe('the command config', () => {
--- a/test/counted-store.test.ts
+++ b/test/counted-store.test.ts
@@ -7,7 +7,8 @@
 import { describe, it, type TestContext } from 'node:test';
 import { ClassicLevel } from 'classic-level';
 import { LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
-import { demoRequest, eventually, PROGRAM, startProgram } from './support/local-cluster-programs.ts';
+import { demoRequest, eventually } from './support/local-cluster.ts';
+import { PROGRAM, startProgram } from './support/programs.ts';
 
 const TASKS_PER_ROUND = 5;
 const FAILOVERS = 2;
@@ -47,7 +48,8 @@
   const program = startProgram(t, ['run', file, '--lab', cluster.addr, '--json']);
   await eventually(() => cluster.runs.length >= runsBefore + TASKS_PER_ROUND);
   onStarted();
-  assert.equal(await program.closed, 0, program.output());
+  const exit = await program.exited;
+  assert.equal(exit.code, 0, exit.stdout + exit.stderr);
 }
 
 function killLeader(cluster: LocalCluster): void {
--- a/test/local-cluster.test.ts
+++ b/test/local-cluster.test.ts
@@ -9,7 +9,8 @@
 import { TaskRunner } from '../packages/local-cluster/src/task-runner.ts';
 import { InvalidSettingsError } from '../src/protocol/settings.ts';
 import type { TaskId } from '../src/types/index.ts';
-import { demoRequest, eventually, PROGRAM, startProgram } from './support/local-cluster-programs.ts';
+import { demoRequest, eventually } from './support/local-cluster.ts';
+import { PROGRAM, runProgram, startProgram } from './support/programs.ts';
 
 const dir = mkdtempSync(join(tmpdir(), 'swiftford-lab-'));
 after(() => rmSync(dir, { recursive: true, force: true }));
@@ -83,10 +84,11 @@
       const program = startProgram(t, ['run', jobFile, '--lab', cluster.addr, '--json']);
       await eventually(() => cluster.runs.length >= 3);
       cluster.fault({ kind: 'kill-controller', seconds: 1, count: 1 });
-      assert.equal(await program.closed, 0, program.output());
+      const exit = await program.exited;
+      assert.equal(exit.code, 0, exit.stdout + exit.stderr);
       await eventually(() => cluster.controllers.every((controller) => controller.process !== null));
       pids.push(...controllerPids());
-      const lines = program.output().trim().split('\n');
+      const lines = exit.stdout.trim().split('\n');
       const results = lines.map((line) => JSON.parse(line) as { name: string; id: string });
       const ids = new Map(results.map(({ name, id }) => [name, id]));
       const outputOf = (name: string, index: number): string => {
@@ -129,9 +131,8 @@
   ): Promise<string> {
     const file = join(dir, 'kept.json');
     writeFileSync(file, JSON.stringify({ ...demoRequest(0), ...job }));
-    const program = startProgram(t, [command, file, '--lab', `127.0.0.1:${port}`, '--json']);
-    await program.closed;
-    return JSON.parse(program.output()).id;
+    const { stdout } = await runProgram(t, command, file, '--lab', `127.0.0.1:${port}`, '--json');
+    return JSON.parse(stdout).id;
   }
 
   it('leaves no process behind when killed, and after a restart does not repeat completed tasks', async (t) => {
--- a/test/production-version.test.ts
+++ b/test/production-version.test.ts
@@ -7,11 +7,17 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { build } from 'esbuild';
-import { endGroup, Lab, readLabOptions, reservePort } from '../packages/local-cluster/src/index.ts';
+import {
+  endGroup,
+  LocalCluster,
+  readLocalClusterOptions,
+  reservePort,
+} from '../packages/local-cluster/src/index.ts';
 import { ConfigClient, callStoreOverHttp, storeClient } from '../src/cli/config-client.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from '../src/core/storage/keys.ts';
 import { parseSettings } from '../src/protocol/settings.ts';
 import { team } from './support/operator.ts';
+import { PROGRAM } from './support/programs.ts';
 
 const BUILD_DIR = 'target/production';
 /** Long enough for the lease of a suspended controller to expire, and for the next leader to be elected. */
@@ -66,38 +72,38 @@
   it('is not elected once there are configuration documents', async (t) => {
     const program = await buildProductionVersion();
     const dir = mkdtempSync(join(tmpdir(), 'swiftford-production-'));
-    const options = readLabOptions('t', {
+    const options = readLocalClusterOptions('t', {
       lab: [{ port: 0, controllers: 2 }],
       team: { demo: [{ cpus_max: 8 }] },
     });
-    const lab = await Lab.start(options, {
-      program: [process.execPath, 'target/main.js'],
+    const cluster = await LocalCluster.start(options, {
+      program: [process.execPath, PROGRAM],
       dir,
       log: () => {},
     });
     let oldController: ChildProcess | null = null;
     t.after(async () => {
       oldController?.kill('SIGKILL');
-      await lab.stop();
+      await cluster.stop();
       rmSync(dir, { recursive: true, force: true });
     });
-    await lab.ready();
+    await cluster.ready();
     const settingsFile = join(dir, 'node-0.json');
     await limitTeam(settingsFile);
-    assert.deepEqual(lab.storedValue(LEADER_KEY), { moved: CONFIGURED_LEADER_KEY });
+    assert.deepEqual(cluster.storedValue(LEADER_KEY), { moved: CONFIGURED_LEADER_KEY });
     // Suspends all controllers of this version, so that their leases expire.
-    for (const controller of lab.controllers) endGroup(controller.process!.pid!, 'SIGSTOP');
+    for (const controller of cluster.controllers) endGroup(controller.process!.pid!, 'SIGSTOP');
     const oldSettingsFile = await writeOldSettings(dir, settingsFile);
     oldController = spawn(process.execPath, [program, 'serve', '--config', oldSettingsFile], {
       stdio: 'ignore',
     });
     await sleep(FAILOVER_MS);
     assert.equal(oldController.exitCode, null);
-    assert.equal(lab.storedValue(CONFIGURED_LEADER_KEY), undefined);
-    assert.deepEqual(lab.storedValue(LEADER_KEY), { moved: CONFIGURED_LEADER_KEY });
-    for (const controller of lab.controllers) endGroup(controller.process!.pid!, 'SIGCONT');
-    await lab.ready();
+    assert.equal(cluster.storedValue(CONFIGURED_LEADER_KEY), undefined);
+    assert.deepEqual(cluster.storedValue(LEADER_KEY), { moved: CONFIGURED_LEADER_KEY });
+    for (const controller of cluster.controllers) endGroup(controller.process!.pid!, 'SIGCONT');
+    await cluster.ready();
     await sleep(FAILOVER_MS);
-    assert.notEqual(lab.storedValue(CONFIGURED_LEADER_KEY), undefined);
+    assert.notEqual(cluster.storedValue(CONFIGURED_LEADER_KEY), undefined);
   });
 });
