Start local clusters of tests in one place; remove their directories after the stop

Three test files started a cluster with the same steps. counted-store registered the removal of the directory before the stop, and node:test runs such hooks in the order of registration: the directory was removed under running controllers, which may write there meanwhile. Not seen to fail; startLocalCluster stops the cluster, then removes the directory.

--- a/test/config-command.test.ts
+++ b/test/config-command.test.ts
@@ -1,11 +1,11 @@
 // Tests of configuration changes by operators: lost responses, late transactions, conflicts, invalid files,
 // and the command `config` on a local cluster.
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it, type TestContext } from 'node:test';
-import { FakeStore, LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
+import { FakeStore } from '../packages/local-cluster/src/index.ts';
 import {
   type Applied,
   type CallStore,
@@ -23,8 +23,9 @@
 import { InvalidSettingsError } from '../src/protocol/settings.ts';
 import type { Revision } from '../src/types/index.ts';
 import { EventQueue } from './support/event-queue.ts';
+import { startLocalCluster } from './support/local-cluster.ts';
 import { team } from './support/operator.ts';
-import { PROGRAM, runProgram } from './support/programs.ts';
+import { runProgram } from './support/programs.ts';
 import { SimulatedWorld, settings } from './support/simulated-world.ts';
 
 /**
@@ -240,18 +241,12 @@
  */
 async function startCluster(t: TestContext) {
   const dir = mkdtempSync(join(tmpdir(), 'swiftford-config-'));
-  const options = readLocalClusterOptions('t', {
+  const options = {
     lab: [{ port: 0, controllers: 2, speed: 20 }],
     workers: [{ report_s: 0.5 }],
     team: { demo: [{ cpus_max: 8 }] },
-  });
-  const program = [process.execPath, PROGRAM];
-  const cluster = await LocalCluster.start(options, { program, dir, log: () => {} });
-  t.after(async () => {
-    await cluster.stop();
-    rmSync(dir, { recursive: true, force: true });
-  });
-  await cluster.ready();
+  };
+  const cluster = await startLocalCluster(t, options, { dir });
   const writeFile = (name: string, text: string): string => {
     writeFileSync(join(dir, name), text);
     return join(dir, name);
--- a/test/counted-store.test.ts
+++ b/test/counted-store.test.ts
@@ -1,14 +1,14 @@
 // Real controllers on a store that has counted far. Guards the whole way over HTTP and between processes: from
 // 2^29 changes on no job was called done any more after a failover, and from 2^53 on no controller could lead.
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { describe, it, type TestContext } from 'node:test';
 import { ClassicLevel } from 'classic-level';
-import { LocalCluster, readLocalClusterOptions } from '../packages/local-cluster/src/index.ts';
-import { demoRequest, eventually } from './support/local-cluster.ts';
-import { PROGRAM, startProgram } from './support/programs.ts';
+import type { LocalCluster } from '../packages/local-cluster/src/index.ts';
+import { demoRequest, eventually, startLocalCluster } from './support/local-cluster.ts';
+import { startProgram } from './support/programs.ts';
 
 const TASKS_PER_ROUND = 5;
 const FAILOVERS = 2;
@@ -19,16 +19,12 @@
   const records = new ClassicLevel<string, string>(data, { valueEncoding: 'utf8' });
   await records.put('m/revision', String(changes));
   await records.close();
-  const options = readLocalClusterOptions('t', {
+  const options = {
     lab: [{ port: 0, speed: 20 }],
     workers: [{ report_s: 0.5 }],
     cloud: [{ list_lag_s: 0 }],
-  });
-  const program = [process.execPath, PROGRAM];
-  const cluster = await LocalCluster.start(options, { program, dir: join(dir, 'lab'), data, log: () => {} });
-  t.after(() => cluster.stop());
-  await cluster.ready();
-  return cluster;
+  };
+  return startLocalCluster(t, options, { dir, data });
 }
 
 /** Runs an array and a gang to their ends; `onStarted` is called when all their tasks have been started. */
@@ -61,7 +57,6 @@
   for (const changes of [2n ** 29n, 2n ** 63n])
     it(`runs jobs over two failovers if its store has counted ${changes} changes`, async (t) => {
       const dir = mkdtempSync(join(tmpdir(), 'swiftford-counted-'));
-      t.after(() => rmSync(dir, { recursive: true, force: true }));
       const cluster = await startCluster(t, dir, changes);
       const file = join(dir, 'jobs.json');
       for (let failover = 1; failover <= FAILOVERS; failover++)
--- a/test/production-version.test.ts
+++ b/test/production-version.test.ts
@@ -7,17 +7,12 @@
 import { join } from 'node:path';
 import { describe, it } from 'node:test';
 import { build } from 'esbuild';
-import {
-  endGroup,
-  LocalCluster,
-  readLocalClusterOptions,
-  reservePort,
-} from '../packages/local-cluster/src/index.ts';
+import { endGroup, reservePort } from '../packages/local-cluster/src/index.ts';
 import { ConfigClient, callStoreOverHttp, storeClient } from '../src/cli/config-client.ts';
 import { CONFIGURED_LEADER_KEY, LEADER_KEY } from '../src/core/storage/keys.ts';
 import { parseSettings } from '../src/protocol/settings.ts';
+import { startLocalCluster } from './support/local-cluster.ts';
 import { team } from './support/operator.ts';
-import { PROGRAM } from './support/programs.ts';
 
 const BUILD_DIR = 'target/production';
 /** Long enough for the lease of a suspended controller to expire, and for the next leader to be elected. */
@@ -72,22 +67,10 @@
   it('is not elected once there are configuration documents', async (t) => {
     const program = await buildProductionVersion();
     const dir = mkdtempSync(join(tmpdir(), 'swiftford-production-'));
-    const options = readLocalClusterOptions('t', {
-      lab: [{ port: 0, controllers: 2 }],
-      team: { demo: [{ cpus_max: 8 }] },
-    });
-    const cluster = await LocalCluster.start(options, {
-      program: [process.execPath, PROGRAM],
-      dir,
-      log: () => {},
-    });
     let oldController: ChildProcess | null = null;
-    t.after(async () => {
-      oldController?.kill('SIGKILL');
-      await cluster.stop();
-      rmSync(dir, { recursive: true, force: true });
-    });
-    await cluster.ready();
+    t.after(() => oldController?.kill('SIGKILL'));
+    const options = { lab: [{ port: 0, controllers: 2 }], team: { demo: [{ cpus_max: 8 }] } };
+    const cluster = await startLocalCluster(t, options, { dir });
     const settingsFile = join(dir, 'node-0.json');
     await limitTeam(settingsFile);
     assert.deepEqual(cluster.storedValue(LEADER_KEY), { moved: CONFIGURED_LEADER_KEY });
