--- a/scripts/experiments/concurrent-faults.ts
+++ b/scripts/experiments/concurrent-faults.ts
@@ -2,7 +2,7 @@
 // world and checks them against the users' rules. A history that breaks a rule is shrunk and printed, and can
 // be replayed from a file.
 import { readFileSync } from 'node:fs';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
 import fc from 'fast-check';
 import {
   type CombinationCounts,
@@ -14,6 +14,7 @@
   type Verdict,
 } from '../../test/support/fault-history.ts';
 import { InvalidInputError } from '../errors.ts';
+import { wholeNumber } from '../option-values.ts';
 
 const USAGE_ERROR_EXIT_CODE = 2;
 
@@ -36,13 +37,6 @@
   latestStartMs: number;
 }
 
-function parsePositiveInteger(text: string): number {
-  const value = Number(text);
-  if (!Number.isInteger(value) || value < 1)
-    throw new InvalidArgumentError('a whole number from 1 on is expected');
-  return value;
-}
-
 const print = (line: string): boolean => process.stdout.write(`${line}\n`);
 
 function isHistory(value: Partial<History> | null): value is History {
@@ -140,8 +134,8 @@
   .description(
     'runs generated histories of concurrent faults and checks the rules; exits with 1 if a rule is broken',
   )
-  .option('--histories <n>', 'number of histories to run', parsePositiveInteger, 300)
-  .option('--seed <n>', 'seed of the history generator', parsePositiveInteger, 1)
+  .option('--histories <n>', 'number of histories to run', wholeNumber(1), 300)
+  .option('--seed <n>', 'seed of the history generator', wholeNumber(1), 1)
   .option('--replay <file>', 'run only the history in this file, in the form in which a failed run prints it')
   .option('--log', 'print the log of the controllers')
   .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : USAGE_ERROR_EXIT_CODE))
--- a/scripts/experiments/scale.ts
+++ b/scripts/experiments/scale.ts
@@ -2,7 +2,8 @@
 // controllers on real sockets, simulated workers, and the key-value store and cloud of the local cluster.
 // `--slopes` varies one parameter at a time; `--quick` is a short run in which the leader is killed once.
 import { writeFileSync } from 'node:fs';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
+import { wholeNumber } from '../option-values.ts';
 import { findResourceShortage } from './scale/resources.ts';
 import { type RunResult, type RunSetup, type ScaleFault, ScaleRun } from './scale/run.ts';
 import { baseSetup, runSlopes } from './scale/slopes.ts';
@@ -22,13 +23,6 @@
 
 const USAGE_ERROR_EXIT_CODE = 2;
 
-const wholeNumberBetween = (min: number, max: number) => (text: string) => {
-  const number = Number(text);
-  if (!Number.isInteger(number) || number < min || number > max)
-    throw new InvalidArgumentError(`a whole number from ${min} to ${max} is expected`);
-  return number;
-};
-
 /** All faults that are expected in an ordinary year of operation, within a quarter of an hour. */
 const FAULTS: ScaleFault[] = [
   { atS: 5, kind: 'restarts', workers: 220, forS: 600 },
@@ -137,10 +131,10 @@
   .description(
     'runs a cluster of the expected production size on this machine; exits with 1 when a rule is broken',
   )
-  .option('--workers <n>', 'simulated workers', wholeNumberBetween(10, 4000), 2000)
-  .option('--controllers <n>', 'real controllers', wholeNumberBetween(1, 15), 5)
-  .option('--teams <n>', 'teams with quotas', wholeNumberBetween(6, 400), 57)
-  .option('--seed <n>', 'seed of the generated load', wholeNumberBetween(1, 2 ** 31), 1)
+  .option('--workers <n>', 'simulated workers', wholeNumber(10, 4000), 2000)
+  .option('--controllers <n>', 'real controllers', wholeNumber(1, 15), 5)
+  .option('--teams <n>', 'teams with quotas', wholeNumber(6, 400), 57)
+  .option('--seed <n>', 'seed of the generated load', wholeNumber(1, 2 ** 31), 1)
   .option('--quick', 'takes less than four minutes; the leader is killed once')
   .option('--slopes', 'measure what each role costs while one parameter at a time varies')
   .option('--only <series...>', 'with --slopes: run only these series')
--- a/scripts/unit.ts
+++ b/scripts/unit.ts
@@ -5,22 +5,22 @@
 import type { Readable } from 'node:stream';
 import { run } from 'node:test';
 import { tap } from 'node:test/reporters';
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
 import { failuresOf, formatKnownRed, type Outcome, parseKnownReds } from './known-red.ts';
+import { wholeNumber } from './option-values.ts';
 
 /** Time of one test file; one that hangs has to fail before CI ends the whole run. */
 const FILE_LIMIT_S = 600;
 
-function parseSeconds(value: string): number {
-  const seconds = Number(value);
-  if (!(seconds > 0)) throw new InvalidArgumentError('expected a number of seconds above 0');
-  return seconds;
-}
-
 const program = new Command('unit')
   .argument('<files...>', 'test files')
   .option('--known <file>', 'tests that are known to fail', 'KNOWN-RED.txt')
-  .option('--file-limit <seconds>', 'time after which a file is killed and fails', parseSeconds, FILE_LIMIT_S)
+  .option(
+    '--file-limit <seconds>',
+    'time after which a file is killed and fails',
+    wholeNumber(1),
+    FILE_LIMIT_S,
+  )
   .configureOutput({ outputError: (text, write) => write(text.replace(/^error: /, 'unit: ')) })
   .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : 2))
   .parse();
