--- a/src/core/machines/machine-assignments.ts
+++ b/src/core/machines/machine-assignments.ts
@@ -87,8 +87,8 @@
   }
 
   /**
-   * Records that the task, which must be in no queue, is on the machine or may be from now on. `sentSeq`: sequence number of the
-   * heartbeat whose response starts the task; -1 for a task that the machine listed.
+   * Records that the task, which must be in no queue, is on the machine or may be from now on. `sentSeq`:
+   * sequence number of the heartbeat whose response starts the task; -1 for a task that the machine listed.
    */
   assign(machine: Machine, job: Job, index: number, attempt: Attempt, sentSeq: Uint64): TaskAssignment {
     const assignment: TaskAssignment = {
--- a/src/protocol/json-fields.ts
+++ b/src/protocol/json-fields.ts
@@ -39,19 +39,22 @@
   return value;
 }
 
+/** The error for a value that is not an integer from `min` to `max`. */
+export const wholeNumberError = (name: string, min: number, max: number | bigint): InvalidMessageError =>
+  new InvalidMessageError(`${name} must be a whole number from ${min} to ${max}`);
+
 /** An integer from `min` to `max`, both inclusive. */
 export function readCount(object: JsonObject, name: string, min = 0, max = Number.MAX_SAFE_INTEGER): number {
   const value = object[name];
   if (typeof value !== 'number' || !Number.isInteger(value) || value < min || value > max)
-    throw new InvalidMessageError(`${name} must be a whole number from ${min} to ${max}`);
+    throw wholeNumberError(name, min, max);
   return value;
 }
 
 /** An integer from `min` to 2^64 - 1, as `parseJson` reads it. */
 export function readUint64(object: JsonObject, name: string, min: 0 | 1 = 0): Uint64 {
   const value = object[name];
-  if (!isUint64(value) || value < min)
-    throw new InvalidMessageError(`${name} must be a whole number from ${min} to ${UINT64_MAX}`);
+  if (!isUint64(value) || value < min) throw wholeNumberError(name, min, UINT64_MAX);
   return value;
 }
 
--- a/src/protocol/service-side.ts
+++ b/src/protocol/service-side.ts
@@ -1,7 +1,7 @@
 // Code shared by the server sides of the store and cloud protocols (store-service.ts, cloud-service.ts).
 import { stringifyJson } from '../types/exact-json.ts';
 import { parseDecimal, toUint64, UINT64_MAX, type Uint64 } from '../types/uint64.ts';
-import { asObject, InvalidMessageError, type JsonObject } from './json-fields.ts';
+import { asObject, InvalidMessageError, type JsonObject, wholeNumberError } from './json-fields.ts';
 
 /** An encoded HTTP response of a service. */
 export interface EncodedReply {
@@ -43,8 +43,7 @@
 /** An integer below 2^64 in a path or query; `name` names it in the `InvalidMessageError`. */
 export function parseUint64(text: string | undefined, name: string): Uint64 {
   const integer = parseDecimal(text ?? '');
-  if (integer === null || integer > UINT64_MAX)
-    throw new InvalidMessageError(`${name} must be a whole number from 0 to ${UINT64_MAX}`);
+  if (integer === null || integer > UINT64_MAX) throw wholeNumberError(name, 0, UINT64_MAX);
   return toUint64(integer);
 }
 
