Log requests that are refused before they are read

A worker whose heartbeats are refused for their length looks, in the logs of the controllers, like one that sends none: "tasks lost: agent epoch ended" every 10 s and nothing else, which a cut link, a slow leader or a wrong token would leave as well. The server now reports each refusal, and the line `invalid message` says its status and reason, at most every 10 s for heartbeats and for other requests.

--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -75,6 +75,11 @@
     return expected;
   }
 
+  /** The target of the request whose body is being read; null if none is. */
+  get currentTarget(): string | null {
+    return this.current?.target ?? null;
+  }
+
   /** True while a message is incomplete. */
   get isMidMessage(): boolean {
     return this.current !== null || this.buffer.length > 0;
--- a/src/http/server-connection.ts
+++ b/src/http/server-connection.ts
@@ -32,12 +32,22 @@
   idleMs: number;
 }
 
+/** Why a request was refused before it was handled; its connection is closed after the response. */
+export interface RequestRefusal {
+  status: number;
+  reason: string;
+  /** Its target; null if its first line has not been read. */
+  target: string | null;
+}
+
 /** Options shared by all connections of a server. */
 export interface ConnectionContext {
   handler: Handler;
   limits: ServerLimits;
   queue: WorkQueue;
   classify: RequestClassifier;
+  /** Called for every request that is refused. */
+  onRefused: (refusal: RequestRefusal) => void;
 }
 
 /**
@@ -126,6 +136,7 @@
 
   private refuse(status: number, reason: string): void {
     this.isClosing = true;
+    this.context.onRefused({ status, reason, target: this.parser.currentTarget });
     this.socket.end(formatResponse({ status, body: JSON.stringify({ error: reason }) }, false));
   }
 
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -4,7 +4,14 @@
 import { WorkQueue } from './work-queue.ts';
 
 export { formatResponse, type ServerResponse } from './response.ts';
-export type { Handler, RequestClass, RequestClassifier, Respond, ServerLimits } from './server-connection.ts';
+export type {
+  Handler,
+  RequestClass,
+  RequestClassifier,
+  RequestRefusal,
+  Respond,
+  ServerLimits,
+} from './server-connection.ts';
 
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 const BACKLOG = 256;
@@ -21,6 +28,8 @@
   queue?: ConnectionContext['queue'];
   /** By default all requests have the same class, which never times out. */
   classify?: ConnectionContext['classify'];
+  /** By default nothing is done. */
+  onRefused?: ConnectionContext['onRefused'];
 }
 
 /** A running server. */
@@ -38,6 +47,7 @@
     limits,
     queue: options.queue ?? new WorkQueue(),
     classify: options.classify ?? (() => DEFAULT_CLASS),
+    onRefused: options.onRefused ?? (() => {}),
   };
   const connections = new Set<ServerConnection>();
   const server = createServer({ noDelay: true }, (socket) => {
--- a/src/runtime/controller-process.ts
+++ b/src/runtime/controller-process.ts
@@ -107,6 +107,7 @@
         idleMs: IDLE_TIMEOUT_MS,
       },
       handler: (request, respond) => router.handle(request, respond),
+      onRefused: (refusal) => router.onRefused(refusal),
       onListening: () => this.log('info', 'serving', { addr }),
       queue: this.queue,
       classify: classifyRequest,
--- a/src/runtime/invalid-message-log.ts
+++ b/src/runtime/invalid-message-log.ts
@@ -4,7 +4,7 @@
 import type { Log } from './log.ts';
 
 /** Where an invalid message came from. */
-export type MessageSource = 'worker heartbeat' | 'store reply' | 'cloud reply' | 'worker reply';
+export type MessageSource = 'worker heartbeat' | 'request' | 'store reply' | 'cloud reply' | 'worker reply';
 
 const LOG_INTERVAL_MS = 10_000;
 
--- a/src/runtime/request-router.ts
+++ b/src/runtime/request-router.ts
@@ -2,7 +2,7 @@
 import type { Input } from '../core/base/io.ts';
 import type { Heartbeat, UserRequest, UserResponse } from '../core/base/model.ts';
 import type { HttpMessage } from '../http/parser.ts';
-import type { Respond } from '../http/server.ts';
+import type { RequestRefusal, Respond } from '../http/server.ts';
 import { isJobId, parseJob } from '../protocol/job.ts';
 import { InvalidMessageError } from '../protocol/json-fields.ts';
 import { encodeUserResponse, errorResponse } from '../protocol/user-response.ts';
@@ -39,6 +39,7 @@
 
 type JobRequest = Exclude<UserRequest, { op: 'submit' }>;
 
+const HEARTBEAT_PATH = '/checkin';
 /** Seconds after which a client may retry. */
 const RETRY_AFTER_S = 1;
 
@@ -60,10 +61,16 @@
     }
   }
 
+  /** Logs a request that the server has refused; its sender may not say so. */
+  onRefused({ status, reason, target }: RequestRefusal): void {
+    const source = target !== null && pathOf(target) === HEARTBEAT_PATH ? 'worker heartbeat' : 'request';
+    this.dependencies.invalidMessages.record(source, new InvalidMessageError(`${status} ${reason}`));
+  }
+
   private route(request: HttpMessage, respond: Respond): void {
-    const path = request.target.split('?', 1)[0]!;
+    const path = pathOf(request.target);
     switch (path) {
-      case '/checkin':
+      case HEARTBEAT_PATH:
         if (requireMethod(request, 'POST', respond)) this.onHeartbeat(request, respond);
         return;
       case '/ready':
@@ -149,6 +156,8 @@
   }
 }
 
+const pathOf = (target: string): string => target.split('?', 1)[0]!;
+
 /** Returns true if the request has this method; otherwise responds with 405 and returns false. */
 function requireMethod(request: HttpMessage, method: string, respond: Respond): boolean {
   if (request.method === method) return true;
