Count the length of the task list as part of a machine's capacity

What callers saw: five accepted arrays of 250 tasks of 0.07 CPUs are never done. All 1,250 tasks start on one machine that has room for them, and 10 s later all are lost, again and again.

Cause: a heartbeat lists every task on the machine, and nothing bounded their number but CPUs, accelerators and memory. From 1,070 tasks on, with these ids, its body is longer than the 64 KiB of the protocol; every controller refuses it with 413, and the lease runs out with all tasks. The worker can neither shorten nor split its heartbeat.

Change: the bytes of the task list are a part of a machine's capacity. A machine has 64 KiB less the heartbeat's other fields; a task takes the longest form of its entry, with its job's id, from its place in a queue until the machine no longer lists it. Every place that asks whether a task fits, or how many do, counts them: placement, queues, gangs, reservations, preemption, the values of capacity, offers, plans, forecasts, failed searches, the check of a submission. So what one machine can't list gets others, and plans rent as many as placement uses. Three counts of "how many tasks fit" became one (jobs/task-capacity.ts), and their stand-ins for "unlimited" are gone. `job waits beside machines with room` names machines with full lists.

Why it works: before a machine is reconciled, and while it lists an orphan, nothing is started there; otherwise the leader's assignments and exited tasks include all that the machine lists. Their longest forms fit, so every heartbeat does, in any state of them. Commands follow, being shorter, one for each of these tasks.

--- a/src/core/autoscaling/capacity-supply.ts
+++ b/src/core/autoscaling/capacity-supply.ts
@@ -1,17 +1,15 @@
 // Free capacity on machines that are up, booting or requested, by pool, while a capacity plan is built.
 import type { Instant, MachineId, ZoneName } from '../../types/index.ts';
+import { listedTaskBytes, MIN_LISTED_TASK_BYTES } from '../base/message-size.ts';
 import type { JobSpec, MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import { needsAtLeast, placementKey } from '../jobs/placement-constraints.ts';
-import { tasksFittingResource } from '../jobs/task-capacity.ts';
+import { type Capacity, capacityOfType, neededBy, tasksFitting } from '../jobs/task-capacity.ts';
 import type { Machine } from '../machines/machine.ts';
 import { type MachineOffer, offerKey } from './machine-offer.ts';
 
 /** Capacity on one machine that the plan has not assigned yet. */
-export interface MachineCapacity extends MachineOffer {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
+export interface MachineCapacity extends MachineOffer, Capacity {
   /** The machine, if it is up or booting; null if it has only been requested. */
   readonly machine: Machine | null;
 }
@@ -30,8 +28,6 @@
 const ROUNDING_TOLERANCE = 1e-9;
 /** Machines with less CPU capacity than this are ignored. */
 const MIN_USABLE_CPUS = 1e-3;
-/** Upper bound of the slots of a machine, for tasks that require no resources. */
-const MAX_SLOTS = 1e6;
 
 /**
  * The capacity of a machine that its running tasks do not use; tasks queued for the machine are not counted.
@@ -40,9 +36,7 @@
   type: machine.type,
   zone: machine.zone,
   spot: machine.spot,
-  cpus: machine.type.cpus - machine.usedCpus,
-  gpus: machine.type.gpus - machine.usedGpus,
-  memoryGb: machine.type.memoryGb - machine.usedMemoryGb,
+  ...machine.unusedCapacity,
   machine,
 });
 
@@ -51,9 +45,7 @@
   type,
   zone,
   spot,
-  cpus: type.cpus,
-  gpus: type.gpus,
-  memoryGb: type.memoryGb,
+  ...capacityOfType(type),
   machine: null,
 });
 
@@ -64,18 +56,16 @@
   capacity.cpus -= job.spec.cpus * placed;
   capacity.gpus -= job.spec.gpus * placed;
   capacity.memoryGb -= job.spec.memoryGb * placed;
+  capacity.taskListBytes -= listedTaskBytes(job.spec) * placed;
   return placed;
 }
 
-function slotsOf(capacity: MachineCapacity, { spec }: Job): number {
-  const slots = Math.min(
-    MAX_SLOTS,
-    tasksFittingResource(capacity.cpus, spec.cpus),
-    tasksFittingResource(capacity.gpus, spec.gpus),
-    tasksFittingResource(capacity.memoryGb, spec.memoryGb),
-  );
-  return Math.max(0, slots);
-}
+const slotsOf = (capacity: MachineCapacity, { spec }: Job): number =>
+  Math.max(0, tasksFitting(capacity, neededBy(spec)));
+
+/** Whether no task can use the capacity. */
+const isUsedUp = ({ cpus, taskListBytes }: MachineCapacity): boolean =>
+  cpus < MIN_USABLE_CPUS || taskListBytes < MIN_LISTED_TASK_BYTES;
 
 /**
  * The machines of one pool, indexed by free GPUs and CPUs rounded down, so that only machines that may have
@@ -88,7 +78,7 @@
   constructor(readonly offer: MachineOffer) {}
 
   add(capacity: MachineCapacity): void {
-    if (capacity.cpus < MIN_USABLE_CPUS) return;
+    if (isUsedUp(capacity)) return;
     const gpus = Math.floor(capacity.gpus + ROUNDING_TOLERANCE);
     const cpus = Math.floor(capacity.cpus + ROUNDING_TOLERANCE);
     const byCpus = this.byGpus[gpus] ?? [];
@@ -129,7 +119,7 @@
 
   /** Adds the capacity of a machine. */
   add(capacity: MachineCapacity): void {
-    if (capacity.cpus < MIN_USABLE_CPUS) return;
+    if (isUsedUp(capacity)) return;
     this.failedSearches = [];
     const key = offerKey(capacity);
     let pool = this.pools.get(key);
--- a/src/core/autoscaling/supply-forecast.ts
+++ b/src/core/autoscaling/supply-forecast.ts
@@ -2,6 +2,7 @@
 // end soon, and capacity of machines that are booting or requested.
 import type { Instant } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
+import { listedTaskBytes } from '../base/message-size.ts';
 import type { MachineType } from '../base/model.ts';
 import type { TaskAssignment } from '../jobs/job.ts';
 import type { RuntimeEstimates } from '../jobs/job-ordering.ts';
@@ -70,12 +71,15 @@
 
   private expectedCapacityOf(machine: Machine): MachineCapacity {
     const capacity = unusedCapacityOf(machine);
+    // The machine is told to forget them as soon as their results are stored.
+    capacity.taskListBytes += machine.exitedTasks.listBytes;
     for (const assignment of machine.assignments.values()) {
       if (!this.endsSoon(assignment, machine)) continue;
       const { spec } = assignment.job;
       capacity.cpus += spec.cpus;
       capacity.gpus += spec.gpus;
       capacity.memoryGb += spec.memoryGb;
+      capacity.taskListBytes += listedTaskBytes(spec);
     }
     return capacity;
   }
--- a/src/core/jobs/placement-constraints.ts
+++ b/src/core/jobs/placement-constraints.ts
@@ -1,10 +1,8 @@
 // Resource needs of a job's tasks and constraints on where they may run, derived from its specification
 // alone.
+import { listedTaskBytes } from '../base/message-size.ts';
 import type { JobSpec, MachineType } from '../base/model.ts';
-import { tasksFittingResource } from './task-capacity.ts';
-
-/** Number of tasks counted for one machine if a task needs no CPU, GPU or memory. */
-const MAX_TASKS_WITHOUT_NEEDS = 1000;
+import { capacityOfType, neededBy, tasksFitting } from './task-capacity.ts';
 
 /** Whether the job has several tasks that must run at the same time. */
 export const isGang = (spec: JobSpec): boolean => spec.kind === 'gang' && spec.tasks > 1;
@@ -13,19 +11,16 @@
 export const placementKey = (spec: JobSpec): string =>
   `${spec.machineTypes?.join() ?? ''}|${spec.zone ?? ''}|${spec.spot}`;
 
-/** Whether a task of `spec` needs at least as much of each resource as one of `other`. */
+/** Whether a task of `spec` takes at least as much of a machine, in every respect, as one of `other`. */
 export const needsAtLeast = (spec: JobSpec, other: JobSpec): boolean =>
-  spec.cpus >= other.cpus && spec.gpus >= other.gpus && spec.memoryGb >= other.memoryGb;
+  spec.cpus >= other.cpus &&
+  spec.gpus >= other.gpus &&
+  spec.memoryGb >= other.memoryGb &&
+  listedTaskBytes(spec) >= listedTaskBytes(other);
 
 /** Number of the job's tasks that fit on an empty machine of the type. */
-export function tasksPerMachine(type: MachineType, spec: JobSpec): number {
-  const tasks = Math.min(
-    tasksFittingResource(type.cpus, spec.cpus),
-    tasksFittingResource(type.gpus, spec.gpus),
-    tasksFittingResource(type.memoryGb, spec.memoryGb),
-  );
-  return Number.isFinite(tasks) ? tasks : MAX_TASKS_WITHOUT_NEEDS;
-}
+export const tasksPerMachine = (type: MachineType, spec: JobSpec): number =>
+  tasksFitting(capacityOfType(type), neededBy(spec));
 
 /** Whether an empty machine of any of the types could run a task of the job. */
 export const canEverRun = (types: Iterable<MachineType>, spec: JobSpec): boolean => {
--- a/src/core/leader/held-responses.ts
+++ b/src/core/leader/held-responses.ts
@@ -137,7 +137,7 @@
   /** Whether the next scheduling cycle, which is due at once, may bind waiting work to this machine. */
   private awaitsCycle({ machine, heldUntil, isBeforeCycle }: HeldResponse): boolean {
     if (!isBeforeCycle || !this.scheduler.hasPendingCycle) return false;
-    if (machine.indexPosition === null || machine.freeCpus <= 0) return false;
+    if (machine.indexPosition === null || machine.freeCpus <= 0 || machine.isTaskListFull) return false;
     const heldMs = this.holdMs - (heldUntil - this.io.now);
     return heldMs < CYCLE_WAIT_MAX_MS;
   }
@@ -152,7 +152,7 @@
     if (machine.isEmpty) return true;
     if (!runsServicesOnly || machine.indexPosition === null || machine.queue.length > 0) return false;
     const hasFreeGpus = machine.type.gpus === 0 || machine.freeGpus > 0;
-    return machine.freeCpus > 0 && hasFreeGpus;
+    return machine.freeCpus > 0 && hasFreeGpus && !machine.isTaskListFull;
   }
 }
 
--- a/src/core/machines/capacity-checks.ts
+++ b/src/core/machines/capacity-checks.ts
@@ -1,7 +1,9 @@
 // Checks whether a task's demand fits the free capacity of a machine, and whether its job may use a zone.
 import type { ZoneName } from '../../types/index.ts';
-import type { JobSpec, MachineType } from '../base/model.ts';
+import { listedTaskBytes } from '../base/message-size.ts';
+import type { JobSpec } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
+import type { Capacity } from '../jobs/task-capacity.ts';
 import { maxTasksPerZone } from '../jobs/zone-constraints.ts';
 import type { QueuedTask } from './machine-tasks.ts';
 
@@ -10,38 +12,37 @@
 
 /** The fields of a machine that the capacity checks read. */
 export interface MachineCapacity {
-  readonly type: MachineType;
-  readonly usedCpus: number;
-  readonly usedGpus: number;
-  /** In GB. */
-  readonly usedMemoryGb: number;
+  /** Capacity that tasks on the machine do not use. */
+  readonly unusedCapacity: Capacity;
   /** Capacity that neither tasks on the machine nor queued tasks use. */
   readonly freeCpus: number;
   readonly freeGpus: number;
   /** In GB. */
   readonly freeMemoryGb: number;
+  readonly freeTaskListBytes: number;
   readonly queue: readonly QueuedTask[];
 }
 
 /** Whether one task of the job fits the given capacity. */
-export function fitsCapacity(spec: JobSpec, cpus: number, gpus: number, memoryGb: number): boolean {
-  return (
-    cpus + ROUNDING_TOLERANCE >= spec.cpus &&
-    gpus + ROUNDING_TOLERANCE >= spec.gpus &&
-    memoryGb + ROUNDING_TOLERANCE >= spec.memoryGb
-  );
-}
+export const fitsCapacity = (spec: JobSpec, { cpus, gpus, memoryGb, taskListBytes }: Capacity): boolean =>
+  fitsAmounts(spec, cpus, gpus, memoryGb, taskListBytes);
+
+/** The same without an object for the capacity: it is called for every machine that a search examines. */
+const fitsAmounts = (
+  spec: JobSpec,
+  cpus: number,
+  gpus: number,
+  memoryGb: number,
+  taskListBytes: number,
+): boolean =>
+  cpus + ROUNDING_TOLERANCE >= spec.cpus &&
+  gpus + ROUNDING_TOLERANCE >= spec.gpus &&
+  memoryGb + ROUNDING_TOLERANCE >= spec.memoryGb &&
+  taskListBytes >= listedTaskBytes(spec);
 
 /** Whether a task of the job fits beside the tasks on the machine and can start now; ignores the queue. */
-export function hasUnusedCapacity(machine: MachineCapacity, job: Job): boolean {
-  const { type } = machine;
-  return fitsCapacity(
-    job.spec,
-    type.cpus - machine.usedCpus,
-    type.gpus - machine.usedGpus,
-    type.memoryGb - machine.usedMemoryGb,
-  );
-}
+export const hasUnusedCapacity = (machine: MachineCapacity, job: Job): boolean =>
+  fitsCapacity(job.spec, machine.unusedCapacity);
 
 /**
  * Whether a task of the job fits beside the tasks on the machine and the queued tasks that would start before
@@ -51,13 +52,15 @@
   let cpus = machine.freeCpus;
   let gpus = machine.freeGpus;
   let memoryGb = machine.freeMemoryGb;
+  let taskListBytes = machine.freeTaskListBytes;
   for (const queued of machine.queue) {
     if (queued.job.priority >= job.priority) continue;
     cpus += queued.job.spec.cpus;
     gpus += queued.job.spec.gpus;
     memoryGb += queued.job.spec.memoryGb;
+    taskListBytes += listedTaskBytes(queued.job.spec);
   }
-  return fitsCapacity(job.spec, cpus, gpus, memoryGb);
+  return fitsAmounts(job.spec, cpus, gpus, memoryGb, taskListBytes);
 }
 
 /**
--- a/src/core/machines/capacity-index.ts
+++ b/src/core/machines/capacity-index.ts
@@ -10,6 +10,8 @@
 const LEVELS_PER_DOUBLING = 8;
 /** Rounding errors accumulate in sums of fractions; capacity this close below a whole number counts as it. */
 const ROUNDING_TOLERANCE = 1e-6;
+/** Level of machines whose task lists are full: its upper bound is 0, so that no task fits. */
+const FULL_TASK_LIST_LEVEL = -1;
 /** Distance between the bucket keys of two CPU levels; larger than the number of accelerator levels. */
 const BUCKET_KEY_STRIDE = 4096;
 
@@ -149,8 +151,9 @@
 }
 
 function getOrCreateBucket(pool: MachinePool, machine: Machine): CapacityBucket {
-  const cpuLevel = levelOf(machine.freeCpus);
-  const gpuLevel = levelOf(machine.freeGpus);
+  const isFull = machine.isTaskListFull;
+  const cpuLevel = isFull ? FULL_TASK_LIST_LEVEL : levelOf(machine.freeCpus);
+  const gpuLevel = isFull ? FULL_TASK_LIST_LEVEL : levelOf(machine.freeGpus);
   const key = cpuLevel * BUCKET_KEY_STRIDE + gpuLevel;
   let bucket = pool.buckets.get(key);
   if (bucket === undefined) {
--- a/src/core/machines/machine-assignments.ts
+++ b/src/core/machines/machine-assignments.ts
@@ -3,6 +3,7 @@
 import { type Attempt, type TaskId, taskId } from '../../types/index.ts';
 import type { Uint64 } from '../../types/uint64.ts';
 import type { ControllerIo } from '../base/io.ts';
+import { listedTaskBytes } from '../base/message-size.ts';
 import { type Job, type TaskAssignment, TaskPhase } from '../jobs/job.ts';
 import type { Quota } from '../teams/quota.ts';
 import type { CapacityIndex } from './capacity-index.ts';
@@ -142,7 +143,6 @@
     for (const assignment of [...machine.assignments.values()]) this.unassign(machine, assignment);
     // No agent is left to execute forget commands for them; if they were kept, a lost machine would not be
     // released.
-    for (const exited of machine.exitedTasks.values()) exited.isGone = true;
     machine.exitedTasks.clear();
     this.dequeueAll(machine);
     this.listener.requestCycle();
@@ -164,6 +164,7 @@
     machine.queuedCpus += job.spec.cpus * sign;
     machine.queuedGpus += job.spec.gpus * sign;
     machine.queuedMemoryGb += job.spec.memoryGb * sign;
+    machine.queuedTaskListBytes += listedTaskBytes(job.spec) * sign;
     // Rounding errors accumulate in sums of fractions; an empty queue allows them to be reset.
     if (machine.queue.length === 0) {
       machine.queuedCpus = 0;
@@ -177,6 +178,7 @@
     machine.usedCpus += job.spec.cpus * sign;
     machine.usedGpus += job.spec.gpus * sign;
     machine.usedMemoryGb += job.spec.memoryGb * sign;
+    machine.assignedTaskListBytes += listedTaskBytes(job.spec) * sign;
     if (machine.assignments.size === 0) {
       machine.usedCpus = 0;
       machine.usedGpus = 0;
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -2,12 +2,15 @@
 // The pools of that index are defined here too, because machines and pools refer to each other.
 import type { Instant, MachineId, ZoneName } from '../../types/index.ts';
 import type { Uint64 } from '../../types/uint64.ts';
+import { MIN_LISTED_TASK_BYTES, TASK_LIST_BYTES } from '../base/message-size.ts';
 import type { Heartbeat, JobSpec, MachineType, TaskStatus } from '../base/model.ts';
 import { diffTaskLists } from '../heartbeats/task-list-delta.ts';
 import type { TaskAssignment } from '../jobs/job.ts';
+import { type Capacity, capacityOfType } from '../jobs/task-capacity.ts';
 import type { Resources } from '../teams/usage.ts';
 import { fitsCapacity, type MachineCapacity } from './capacity-checks.ts';
-import type { ExitedTask, OrphanTask, QueuedTask } from './machine-tasks.ts';
+import { ExitedTasks } from './exited-tasks.ts';
+import type { OrphanTask, QueuedTask } from './machine-tasks.ts';
 
 export { hasCapacityAhead, isZoneAllowed } from './capacity-checks.ts';
 export type { QueuedTask } from './machine-tasks.ts';
@@ -81,7 +84,7 @@
    * Exited tasks that the machine lists, by `assignmentKey`. A `forget` command is sent for each; for a
    * completed task only once its result is stored.
    */
-  readonly exitedTasks = new Map<string, ExitedTask>();
+  readonly exitedTasks = new ExitedTasks();
   lastHeartbeat: Instant;
   /** From then on, no task runs on the machine, unless a heartbeat of it is answered before. */
   leaseExpiresAt: Instant;
@@ -100,10 +103,14 @@
   usedGpus = 0;
   /** In GB. */
   usedMemoryGb = 0;
+  /** What the assigned tasks take of the machine's task list. */
+  assignedTaskListBytes = 0;
   queuedCpus = 0;
   queuedGpus = 0;
   /** In GB. */
   queuedMemoryGb = 0;
+  /** What the queued tasks will take of the machine's task list. */
+  queuedTaskListBytes = 0;
   /** Position in the capacity index; null while the machine is not schedulable. */
   indexPosition: IndexPosition | null = null;
   /** Whether the full machine is counted against every team's limit, as it is unknown what runs on it. */
@@ -173,6 +180,36 @@
   get freeMemoryGb(): number {
     return this.type.memoryGb - this.usedMemoryGb - this.queuedMemoryGb;
   }
+
+  /** Bytes of the machine's task list that neither tasks on the machine, exited or not, nor queued tasks use. */
+  get freeTaskListBytes(): number {
+    return this.unusedTaskListBytes - this.queuedTaskListBytes;
+  }
+
+  private get unusedTaskListBytes(): number {
+    return TASK_LIST_BYTES - this.assignedTaskListBytes - this.exitedTasks.listBytes;
+  }
+
+  /** Whether no task at all can be added to the machine's task list. */
+  get isTaskListFull(): boolean {
+    return this.freeTaskListBytes < MIN_LISTED_TASK_BYTES;
+  }
+
+  /** Capacity that neither tasks on the machine nor queued tasks use. */
+  get freeCapacity(): Capacity {
+    const { freeCpus, freeGpus, freeMemoryGb, freeTaskListBytes } = this;
+    return { cpus: freeCpus, gpus: freeGpus, memoryGb: freeMemoryGb, taskListBytes: freeTaskListBytes };
+  }
+
+  /** Capacity that tasks on the machine do not use. */
+  get unusedCapacity(): Capacity {
+    return {
+      cpus: this.type.cpus - this.usedCpus,
+      gpus: this.type.gpus - this.usedGpus,
+      memoryGb: this.type.memoryGb - this.usedMemoryGb,
+      taskListBytes: this.unusedTaskListBytes,
+    };
+  }
 }
 
 /** Machines of one pool with free CPUs and accelerators in the same levels of the capacity index. */
@@ -193,12 +230,16 @@
   readonly total: Resources = [0, 0, 0];
   /** Free capacity of the schedulable machines. */
   readonly free: Resources = [0, 0, 0];
+  /** Capacity of an empty machine. */
+  readonly machineCapacity: Capacity;
 
   constructor(
     readonly type: MachineType,
     readonly zone: ZoneName,
     readonly spot: boolean,
-  ) {}
+  ) {
+    this.machineCapacity = capacityOfType(type);
+  }
 
   /** Whether the job's spec allows its tasks to run on machines of this pool. */
   admits(spec: JobSpec): boolean {
@@ -206,7 +247,7 @@
     if (spec.machineTypes !== null && !spec.machineTypes.includes(type.name)) return false;
     if (spec.zone !== null && spec.zone !== this.zone) return false;
     if (this.spot && !spec.spot) return false;
-    return fitsCapacity(spec, type.cpus, type.gpus, type.memoryGb);
+    return fitsCapacity(spec, this.machineCapacity);
   }
 }
 
--- a/src/core/machines/task-reconciler.ts
+++ b/src/core/machines/task-reconciler.ts
@@ -67,7 +67,7 @@
     machine.orphans = [];
     for (const listed of tasks) this.reconcileTask(machine, listed, seq);
     this.unassignUnlisted(machine, seq);
-    removeUnlistedExits(machine, seq);
+    machine.exitedTasks.removeUnlisted(seq);
     // A task whose start command was sent after this heartbeat is not in the list; the next list shows
     // whether it has started.
     machine.isTaskListSettled =
@@ -186,7 +186,7 @@
       seenSeq: seq,
     };
     listed.exitedTask = exitedTask;
-    machine.exitedTasks.set(key, exitedTask);
+    machine.exitedTasks.add(key, exitedTask);
     if (job === undefined || index >= job.spec.tasks) return;
     this.recordOutcome(machine, job, index, listed, assignment);
     if (assignment !== undefined) this.assignments.unassign(machine, assignment);
@@ -235,12 +235,3 @@
       if (queued.job === job) this.assignments.dequeue(machine, queued);
   }
 }
-
-/** Removes exited tasks that the machine no longer lists. */
-function removeUnlistedExits(machine: Machine, seq: Uint64): void {
-  for (const [key, exited] of machine.exitedTasks) {
-    if (exited.seenSeq === seq) continue;
-    exited.isGone = true;
-    machine.exitedTasks.delete(key);
-  }
-}
--- a/src/core/scheduling/bin-packing.ts
+++ b/src/core/scheduling/bin-packing.ts
@@ -2,17 +2,13 @@
 // the machine's capacity. The choice among machines with about equal scores stays random, as
 // join-below-threshold requires.
 import type { MachineTypeName } from '../../types/index.ts';
+import { listedTaskBytes } from '../base/message-size.ts';
 import type { MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
+import { tasksPerMachine } from '../jobs/placement-constraints.ts';
+import type { Capacity } from '../jobs/task-capacity.ts';
 import type { Machine, MachinePool } from '../machines/machine.ts';
-import {
-  type Capacity,
-  type CapacitySource,
-  type ClassValueInputs,
-  ClassValues,
-  freeCapacityOf,
-  tasksFitting,
-} from './class-values.ts';
+import { type CapacitySource, type ClassValueInputs, ClassValues } from './class-values.ts';
 
 /** A task is not placed where it displaces other work that is worth more than this many times as much. */
 const WASTEFUL_COST_RATIO = 1.6;
@@ -76,12 +72,12 @@
 
   /** The score of an empty machine of the pool: how well its type suits the job; lower is better. */
   typeScore(job: Job, pool: MachinePool): number {
-    return this.displacementCost(job, pool, pool.type, job.priority);
+    return this.displacementCost(job, pool, pool.machineCapacity, job.priority);
   }
 
   /** Lower is better; infinite if the task would displace work that is worth much more than itself. */
   score(job: Job, machine: Machine): number {
-    const capacity = freeCapacityOf(machine);
+    const capacity = machine.freeCapacity;
     // Only work of at least the job's priority may exclude a machine. Otherwise urgent work waits beside idle
     // machines: services did not use 197 idle machines, as each was worth more to a gang of lower priority.
     const costToUrgent = this.displacementCost(job, machine, capacity, job.priority);
@@ -129,6 +125,7 @@
       cpus: capacity.cpus - spec.cpus,
       gpus: capacity.gpus - spec.gpus,
       memoryGb: capacity.memoryGb - spec.memoryGb,
+      taskListBytes: capacity.taskListBytes - listedTaskBytes(spec),
     };
     const valueBefore = this.classValues.valueOfCapacity(capacity, source, minPriority);
     const valueAfter = this.classValues.valueOfCapacity(remaining, source, minPriority);
@@ -151,7 +148,7 @@
   }
 
   private pricePenalty(job: Job, machine: Machine): number {
-    const tasks = tasksFitting(machine.type, job.spec);
+    const tasks = tasksPerMachine(machine.type, job.spec);
     const cheapest = this.classValues.cheapestPriceOfClass(job.spec.class);
     if (tasks < 1 || cheapest <= 0) return 0;
     const price = machine.spot ? machine.type.spotPrice : machine.type.price;
--- a/src/core/scheduling/class-values.ts
+++ b/src/core/scheduling/class-values.ts
@@ -9,15 +9,9 @@
 } from '../../types/index.ts';
 import type { JobSpec, MachineType, Priority } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
+import { type Capacity, capacityOfType, neededBy, tasksFitting } from '../jobs/task-capacity.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
-import { isZoneAllowed, type Machine } from '../machines/machine.ts';
-
-/** An amount of each resource. */
-export interface Capacity {
-  cpus: number;
-  gpus: number;
-  memoryGb: number;
-}
+import { isZoneAllowed } from '../machines/machine.ts';
 
 /** Where capacity is: on one machine, or on any of a pool, which has no id. */
 export interface CapacitySource {
@@ -78,12 +72,10 @@
 const EXPECTED_ONLY_WEIGHT = 0.3;
 /** The highest priority. */
 const MAX_PRIORITY: Priority = 3;
-/** Tolerance for sums of fractional CPUs, GPUs and GB. */
+/** Tolerance for means of fractional CPUs, GPUs and GB. */
 const ROUNDING_TOLERANCE = 1e-6;
 /** With more jobs that avoid machines, a class is taken to have a job for each machine. */
 const MAX_AVOIDING_JOBS = 8;
-/** Number of tasks that fit if a task needs none of the resource; greater than any real count. */
-const UNLIMITED_TASKS = 1e6;
 
 /** The values of classes and of capacity. */
 export class ClassValues {
@@ -167,7 +159,7 @@
       if (profile.allowedTypes !== null && !profile.allowedTypes.includes(source.type.name)) continue;
       if (profile.zones !== null && !profile.zones.has(source.zone)) continue;
       if (this.isAvoided(source, profile)) continue;
-      best = Math.max(best, tasksFitting(capacity, profile) * profile.value);
+      best = Math.max(best, meanTasksFitting(capacity, profile) * profile.value);
     }
     return best;
   }
@@ -181,7 +173,7 @@
     let lowest = Number.POSITIVE_INFINITY;
     for (const type of this.types.values()) {
       if (allowedTypes !== null && !allowedTypes.includes(type.name)) continue;
-      const tasks = tasksFitting(type, needed);
+      const tasks = meanTasksFitting(capacityOfType(type), needed);
       if (tasks >= 1) lowest = Math.min(lowest, Math.min(type.price, type.spotPrice) / tasks);
     }
     return Number.isFinite(lowest) ? lowest : 0;
@@ -192,7 +184,7 @@
     let lowest = Number.POSITIVE_INFINITY;
     for (const type of this.types.values()) {
       if (allowedTypes !== null && !allowedTypes.includes(type.name)) continue;
-      const tasks = tasksFitting(type, needed);
+      const tasks = meanTasksFitting(capacityOfType(type), needed);
       if (tasks < 1) continue;
       const price = Math.min(type.price, type.spotPrice) / tasks;
       lowest = Math.min(lowest, price * (1 + SIZE_BONUS / tasks));
@@ -215,13 +207,11 @@
       waitingZones: new Set(),
       waitingJobs: 0,
       avoidingJobs: [],
-      needed: { cpus: 0, gpus: 0, memoryGb: 0 },
+      needed: { cpus: 0, gpus: 0, memoryGb: 0, taskListBytes: 0 },
     };
     totalsByClass.set(spec.class, totals);
     totals.jobs++;
-    totals.needed.cpus += spec.cpus;
-    totals.needed.gpus += spec.gpus;
-    totals.needed.memoryGb += spec.memoryGb;
+    addCapacity(totals.needed, neededBy(spec));
     // Tasks that back off or that their team's quota does not allow would not use the capacity.
     const mayStart = job.unplacedTasks > 0 && now >= job.retryAt;
     const waiting = mayStart ? Math.min(job.unplacedTasks, allowedTasks(job)) : 0;
@@ -247,14 +237,15 @@
   cpus: needed.cpus / jobs,
   gpus: needed.gpus / jobs,
   memoryGb: needed.memoryGb / jobs,
+  taskListBytes: needed.taskListBytes / jobs,
 });
 
-/** Capacity that is left after all tasks on the machine and in its queue. */
-export const freeCapacityOf = (machine: Machine): Capacity => ({
-  cpus: machine.freeCpus,
-  gpus: machine.freeGpus,
-  memoryGb: machine.freeMemoryGb,
-});
+function addCapacity(sum: Capacity, added: Capacity): void {
+  sum.cpus += added.cpus;
+  sum.gpus += added.gpus;
+  sum.memoryGb += added.memoryGb;
+  sum.taskListBytes += added.taskListBytes;
+}
 
 /** Whether there is free capacity now for more than `tasks` tasks of about this size. */
 function hasCapacityForMore(
@@ -268,21 +259,13 @@
     if (!pool.admits(spec)) continue;
     for (const { members } of pool.buckets.values()) {
       const example = members[0];
-      if (example !== undefined) slots += tasksFitting(freeCapacityOf(example), needed) * members.length;
+      if (example !== undefined) slots += meanTasksFitting(example.freeCapacity, needed) * members.length;
     }
     if (slots > tasks) return true;
   }
   return false;
 }
 
-/** How many tasks fit into the capacity. */
-export function tasksFitting(capacity: Capacity, needed: Capacity): number {
-  return Math.min(
-    tasksFittingAmount(capacity.cpus, needed.cpus),
-    tasksFittingAmount(capacity.gpus, needed.gpus),
-    tasksFittingAmount(capacity.memoryGb, needed.memoryGb),
-  );
-}
-
-const tasksFittingAmount = (free: number, needed: number): number =>
-  needed <= 0 ? UNLIMITED_TASKS : Math.max(0, Math.floor((free + ROUNDING_TOLERANCE) / needed));
+/** How many tasks with the mean needs of a class fit into the capacity. */
+const meanTasksFitting = (capacity: Capacity, needed: Capacity): number =>
+  Math.max(0, tasksFitting(capacity, needed, ROUNDING_TOLERANCE));
--- a/src/core/scheduling/freed-capacity.ts
+++ b/src/core/scheduling/freed-capacity.ts
@@ -1,5 +1,7 @@
 // Checks whether the capacity that ending tasks free is enough for a waiting task.
+import { listedTaskBytes } from '../base/message-size.ts';
 import type { JobSpec } from '../base/model.ts';
+import type { Capacity } from '../jobs/task-capacity.ts';
 
 /** Tolerance for sums of fractional CPUs, GPUs and GB. */
 const ROUNDING_TOLERANCE = 1e-9;
@@ -9,12 +11,14 @@
   private cpus: number;
   private gpus: number;
   private memoryGb: number;
+  private taskListBytes: number;
 
   /** Starts from the machine's free capacity; `needed` is the specification of the waiting task. */
-  constructor(freeCpus: number, freeGpus: number, freeMemoryGb: number, needed: JobSpec) {
-    this.cpus = freeCpus - needed.cpus;
-    this.gpus = freeGpus - needed.gpus;
-    this.memoryGb = freeMemoryGb - needed.memoryGb;
+  constructor(free: Capacity, needed: JobSpec) {
+    this.cpus = free.cpus - needed.cpus;
+    this.gpus = free.gpus - needed.gpus;
+    this.memoryGb = free.memoryGb - needed.memoryGb;
+    this.taskListBytes = free.taskListBytes - listedTaskBytes(needed);
   }
 
   /** Adds the capacity that a task with this specification frees when it ends. */
@@ -22,6 +26,7 @@
     this.cpus += spec.cpus;
     this.gpus += spec.gpus;
     this.memoryGb += spec.memoryGb;
+    this.taskListBytes += listedTaskBytes(spec);
   }
 
   /** Whether the waiting task fits now. */
@@ -29,7 +34,8 @@
     return (
       this.cpus >= -ROUNDING_TOLERANCE &&
       this.gpus >= -ROUNDING_TOLERANCE &&
-      this.memoryGb >= -ROUNDING_TOLERANCE
+      this.memoryGb >= -ROUNDING_TOLERANCE &&
+      this.taskListBytes >= 0
     );
   }
 }
--- a/src/core/scheduling/gang-scheduler.ts
+++ b/src/core/scheduling/gang-scheduler.ts
@@ -4,7 +4,7 @@
 import type { ZoneName } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import { type Job, TaskPhase } from '../jobs/job.ts';
-import { tasksFittingResource } from '../jobs/task-capacity.ts';
+import { neededBy, tasksFitting } from '../jobs/task-capacity.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
 import { hasCapacityAhead, isZoneAllowed, type Machine, type MachinePool } from '../machines/machine.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
@@ -181,11 +181,5 @@
 }
 
 /** Number of tasks of the gang that the machine has free capacity for now. */
-function slotsOnMachine(machine: Machine, { spec }: Job): number {
-  return Math.min(
-    spec.tasks,
-    tasksFittingResource(machine.freeCpus, spec.cpus),
-    tasksFittingResource(machine.freeGpus, spec.gpus),
-    tasksFittingResource(machine.freeMemoryGb, spec.memoryGb),
-  );
-}
+const slotsOnMachine = (machine: Machine, { spec }: Job): number =>
+  Math.min(spec.tasks, tasksFitting(machine.freeCapacity, neededBy(spec)));
--- a/src/core/scheduling/preemption.ts
+++ b/src/core/scheduling/preemption.ts
@@ -79,12 +79,7 @@
    * assignment until the capacity is enough; null if preempting every eligible task would not free enough.
    */
   findVictims(machine: Machine, job: Job): TaskAssignment[] | null {
-    const capacity = new FreedCapacity(
-      machine.type.cpus - machine.usedCpus,
-      machine.type.gpus - machine.usedGpus,
-      machine.type.memoryGb - machine.usedMemoryGb,
-      job.spec,
-    );
+    const capacity = new FreedCapacity(machine.unusedCapacity, job.spec);
     const victims: TaskAssignment[] = [];
     if (capacity.isEnough) return victims;
     for (const assignment of machine.assignments.values()) {
--- a/src/core/scheduling/reservations.ts
+++ b/src/core/scheduling/reservations.ts
@@ -210,7 +210,7 @@
   }
 
   private expectedCapacity(machine: Machine, job: Job): ExpectedCapacity {
-    const capacity = new FreedCapacity(machine.freeCpus, machine.freeGpus, machine.freeMemoryGb, job.spec);
+    const capacity = new FreedCapacity(machine.freeCapacity, job.spec);
     if (capacity.isEnough) return { availableInS: 0, victims: [] };
     const ends = [...machine.assignments.values()].map((assignment) => this.expectedEnd(assignment, job));
     ends.sort((a, b) => a.endsInS - b.endsInS);
--- a/src/core/scheduling/task-placement.ts
+++ b/src/core/scheduling/task-placement.ts
@@ -190,6 +190,7 @@
     for (const machine of machines) {
       if (
         machine.indexPosition === null ||
+        machine.isTaskListFull ||
         machine.freeCpus + ROUNDING_TOLERANCE < job.spec.cpus ||
         !pools.includes(machine.indexPosition.pool)
       ) {
--- a/src/core/scheduling/waiting-job-report.ts
+++ b/src/core/scheduling/waiting-job-report.ts
@@ -1,10 +1,11 @@
-// Periodically logs why the job that has waited longest does not use machines that have room for it.
+// Periodically logs why the job that has waited longest does not use machines that have room for it, or would
+// have but for the length of their task lists.
 import { addMs, elapsedMs, type Instant, LONG_AGO, type MachineId, type Millis } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import type { JobTable } from '../jobs/job-table.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
-import { hasCapacityAhead, type Machine } from '../machines/machine.ts';
+import { type CapacityBucket, hasCapacityAhead, type Machine } from '../machines/machine.ts';
 import type { Quota } from '../teams/quota.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import { bucketMayFit, MACHINES_SAMPLED_PER_BUCKET } from './capacity-search.ts';
@@ -19,6 +20,8 @@
 /** Numbers of the examined machines with room for the job, by what keeps the job from using them. */
 interface MachineCounts {
   withRoom: number;
+  /** Machines whose heartbeats can list no further task, whatever else is free there. */
+  taskListFull: number;
   /** The job has failed there and tries other machines for now. */
   avoided: number;
   /** Reserved for another job. */
@@ -55,7 +58,7 @@
     const job = this.longestWaitingJob();
     if (job === null) return;
     const machines = this.countMachines(job);
-    if (machines.withRoom === 0) return;
+    if (machines.withRoom === 0 && machines.taskListFull === 0) return;
     io.log('info', 'job waits beside machines with room', {
       job: job.id,
       waitMs: Math.round(elapsedMs(io.now, job.readyAt)),
@@ -77,21 +80,30 @@
   }
 
   private countMachines(job: Job): MachineCounts {
-    const counts: MachineCounts = { withRoom: 0, avoided: 0, reserved: 0, worthMore: 0, planned: 0 };
+    const counts: MachineCounts = {
+      withRoom: 0,
+      taskListFull: 0,
+      avoided: 0,
+      reserved: 0,
+      worthMore: 0,
+      planned: 0,
+    };
     let remaining = MAX_MACHINES_EXAMINED;
     for (const machine of this.machinesToExamine(job)) {
       if (remaining-- <= 0) break;
-      if (hasCapacityAhead(machine, job)) this.countMachine(machine, job, counts);
+      if (machine.isTaskListFull) counts.taskListFull++;
+      else if (hasCapacityAhead(machine, job)) this.countMachine(machine, job, counts);
     }
     return counts;
   }
 
-  /** A few machines of each bucket that may have room; not drawn at random, as a report must change nothing. */
+  /** A few machines of each bucket that may have room, or whose task lists are full; not drawn at random, as a report must change nothing. */
   private *machinesToExamine(job: Job): Iterable<Machine> {
     for (const pool of this.dependencies.capacityIndex.pools.values()) {
       if (!pool.admits(job.spec)) continue;
       for (const bucket of pool.buckets.values())
-        if (bucketMayFit(bucket, job.spec)) yield* bucket.members.slice(0, MACHINES_SAMPLED_PER_BUCKET);
+        if (bucketMayFit(bucket, job.spec) || isTaskListBucket(bucket))
+          yield* bucket.members.slice(0, MACHINES_SAMPLED_PER_BUCKET);
     }
   }
 
@@ -104,3 +116,6 @@
     if (neededMachines.has(machine.id)) counts.planned++;
   }
 }
+
+/** Whether the bucket is that of machines with full task lists. */
+const isTaskListBucket = ({ members }: CapacityBucket): boolean => members[0]?.isTaskListFull === true;
--- a/test/class-values.test.ts
+++ b/test/class-values.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from 'node:test';
 import type { JobSpec } from '../src/core/base/model.ts';
 import { Job } from '../src/core/jobs/job.ts';
+import { capacityOfType } from '../src/core/jobs/task-capacity.ts';
 import { CapacityIndex } from '../src/core/machines/capacity-index.ts';
 import { MachinePool } from '../src/core/machines/machine.ts';
 import { ClassValues } from '../src/core/scheduling/class-values.ts';
@@ -38,7 +39,7 @@
   for (const zone of [NORTH, SOUTH]) capacityIndex.pools.set(zone, new MachinePool(boxType!, zone, false));
   const values = new ClassValues(new Map([['box' as MachineTypeName, boxType!]]));
   values.refresh({ now: NOW, jobs, capacityIndex, expectedTasks: () => 0, allowedTasks: () => 1 });
-  return values.valueOfCapacity(boxType!, source, 1);
+  return values.valueOfCapacity(capacityOfType(boxType!), source, 1);
 }
 
 const fullValue = valueOfMachine(machine, waitingJob('run-1'));
--- a/test/message-sizes.test.ts
+++ b/test/message-sizes.test.ts
@@ -3,20 +3,25 @@
 import assert from 'node:assert/strict';
 import type { AddressInfo } from 'node:net';
 import { describe, it, type TestContext } from 'node:test';
+import type { JobSpec } from '../src/core/base/model.ts';
 import { type HttpServerOptions, serveHttp } from '../src/http/server.ts';
 import { InvalidMessageLog } from '../src/runtime/invalid-message-log.ts';
 import { PendingResponses } from '../src/runtime/pending-responses.ts';
 import { RequestRouter } from '../src/runtime/request-router.ts';
-
-const KIB = 1024;
-const MAX_BODY_BYTES = 64 * KIB;
+import {
+  type LongestMessages,
+  MAX_MESSAGE_BYTES,
+  MAX_PEER_MESSAGE_BYTES,
+  measureMessages,
+} from './support/message-lengths.ts';
+import { job, SimulatedWorld } from './support/simulated-world.ts';
 
 /** Serves requests on a free port until the test ends; resolves with the URL of the server. */
 async function serve(
   t: TestContext,
   options: Pick<HttpServerOptions, 'handler' | 'onRefused'>,
 ): Promise<string> {
-  const limits = { maxConnections: 10, maxBody: MAX_BODY_BYTES, requestMs: 10_000, idleMs: 60_000 };
+  const limits = { maxConnections: 10, maxBody: MAX_MESSAGE_BYTES, requestMs: 10_000, idleMs: 60_000 };
   const { server, close } = serveHttp({ host: '127.0.0.1', port: 0, limits, ...options });
   t.after(close);
   await new Promise((resolve) => server.once('listening', resolve));
@@ -48,10 +53,122 @@
       handler: (request, respond) => router.handle(request, respond),
       onRefused: (refusal) => router.onRefused(refusal),
     });
-    const response = await fetch(`${url}/work`, { method: 'POST', body: 'x'.repeat(MAX_BODY_BYTES + 1) });
+    const response = await fetch(`${url}/work`, { method: 'POST', body: 'x'.repeat(MAX_MESSAGE_BYTES + 1) });
     assert.equal(response.status, 413);
     await response.body?.cancel();
     const fields = { source: 'request', reason: '413 body too large', count: 1 };
     assert.deepEqual(lines, [['info', 'invalid message', fields]]);
   });
 });
+
+/** A job of tasks so small that one machine has room for 1,600 of them. */
+const smallTasks = (id: string, overrides: Partial<JobSpec> = {}): JobSpec =>
+  job(id, { tasks: 250, cpus: 0.005, memoryGb: 0.01, estimatedRunS: 15, ...overrides });
+
+const LONGEST_ID_SUFFIX = 'x'.repeat(119);
+
+/** All tasks that a world's machines have lost with their leases. */
+const tasksLostByLease = (world: SimulatedWorld): number =>
+  [...world.workers.values()].reduce((sum, worker) => sum + worker.lostByLease, 0);
+
+/** A world whose tasks run for 15 s, with the lengths of its messages. */
+function createWorld(): { world: SimulatedWorld; longest: LongestMessages } {
+  const world = new SimulatedWorld();
+  world.runS = 15;
+  return { world, longest: measureMessages(world) };
+}
+
+function assertWithinLimits(world: SimulatedWorld, longest: LongestMessages): void {
+  for (const kind of ['heartbeat', 'heartbeatResponse', 'storeRequest'] as const)
+    assert.ok(longest[kind] <= MAX_MESSAGE_BYTES, `${kind} of ${longest[kind]} bytes`);
+  assert.ok(
+    longest.peerMessage <= MAX_PEER_MESSAGE_BYTES,
+    `message between controllers of ${longest.peerMessage} bytes`,
+  );
+  assert.equal(tasksLostByLease(world), 0);
+  assert.deepEqual(world.violations, []);
+}
+
+describe('small tasks', () => {
+  // 1,250 tasks were started on one machine; its heartbeats of 75 KB were refused, and no job was ever done.
+  for (const [ids, suffix] of [
+    ['short', ''],
+    ['the longest', LONGEST_ID_SUFFIX],
+  ])
+    it(`run on more machines where the heartbeats of one cannot list them, with ${ids} ids`, () => {
+      const { world, longest } = createWorld();
+      const ids = Array.from({ length: 5 }, (_, index) => `run-${index}${suffix}`);
+      for (const id of ids) assert.equal(world.submit(smallTasks(id))?.kind, 'accepted');
+      assert.ok(world.until(() => ids.every((id) => world.isDone(id)), 90));
+      assert.ok(world.workers.size > 1);
+      assertWithinLimits(world, longest);
+      assert.ok(
+        longest.heartbeat > MAX_MESSAGE_BYTES / 2,
+        `only ${longest.heartbeat} bytes of a heartbeat used`,
+      );
+    });
+
+  // Tasks that need nothing at all have no limit but the length of the heartbeat.
+  it('that need no resources run too', () => {
+    const { world, longest } = createWorld();
+    world.submit(smallTasks('run-1', { tasks: 3000, cpus: 0, memoryGb: 0 }));
+    assert.ok(world.until(() => world.isDone('run-1'), 90));
+    assertWithinLimits(world, longest);
+  });
+
+  // A machine keeps listing its exited tasks while their results cannot be stored.
+  it('are not started beside too many exited ones while the store is away', () => {
+    const { world, longest } = createWorld();
+    world.cloud.capacity = 1;
+    world.runS = 2;
+    world.submit(smallTasks('run-1', { tasks: 4000 }));
+    assert.ok(world.until(() => world.machinesRunning('run-1').length === 1));
+    world.state.down = true;
+    world.run(20);
+    const [machine] = world.workers.values();
+    assert.ok(machine!.tasks.size > 0);
+    assert.deepEqual(machine!.activeTasks(), []);
+    world.state.down = false;
+    assert.ok(world.until(() => world.isDone('run-1'), 120));
+    assertWithinLimits(world, longest);
+  });
+
+  it('stay within the limit after a failover', () => {
+    const { world, longest } = createWorld();
+    world.runS = 20;
+    for (const id of ['run-1', 'run-2', 'run-3', 'run-4']) world.submit(smallTasks(id));
+    assert.ok(world.until(() => longest.tasks > 400, 30));
+    world.crash(world.leader!);
+    world.run(2);
+    const [node] = world.nodes.keys();
+    for (const id of ['run-5', 'run-6']) world.submit(smallTasks(id), node);
+    assert.ok(world.until(() => ['run-1', 'run-6'].every((id) => world.isDone(id, node)), 90));
+    assertWithinLimits(world, longest);
+  });
+
+  it('of one gang run at once, on several machines', () => {
+    const { world, longest } = createWorld();
+    assert.equal(
+      world.submit(smallTasks('run-1', { kind: 'gang', tasks: 1300, oneZone: true }))?.kind,
+      'accepted',
+    );
+    assert.ok(world.until(() => world.isDone('run-1'), 90));
+    assertWithinLimits(world, longest);
+  });
+
+  // Urgent work waits for a place in the list, as it does for CPUs: preempting one task gives it one.
+  it('make room in the list of a machine for a task of higher priority', () => {
+    const { world, longest } = createWorld();
+    world.cloud.capacity = 1;
+    world.runS = 600;
+    world.submit(
+      smallTasks('run-1', { tasks: 2000, priority: 0, checkpointIntervalS: 10, checkpointDurationS: 1 }),
+    );
+    assert.ok(world.until(() => longest.tasks > 400, 30));
+    world.run(35);
+    assert.ok(world.logs.some((line) => line.includes('"taskListFull":1')));
+    world.submit(smallTasks('run-2', { class: 'urgent', tasks: 1, priority: 3 }));
+    assert.ok(world.until(() => world.machinesRunning('run-2').length === 1, 15));
+    assertWithinLimits(world, longest);
+  });
+});
