Keep the commands in one response to a worker within 64 KiB

What callers would see: a machine that a leader of an earlier version has given more tasks than a heartbeat should list got all commands to them in one line, longer than the protocol allows; a worker that drops such a response goes on with cancelled tasks.

Cause: a response carries one command for each task to be stopped or forgotten, without a bound.

Change: as many commands as a line holds, stop commands first; they are derived anew from each heartbeat until carried out, so the others follow with the next responses.

--- a/src/core/machines/machine-commands.ts
+++ b/src/core/machines/machine-commands.ts
@@ -6,6 +6,7 @@
 import { type TaskAssignment, TaskPhase } from '../jobs/job.ts';
 import type { JobTable } from '../jobs/job-table.ts';
 import { hasUnusedCapacity } from './capacity-checks.ts';
+import { commandsForResponse } from './command-list.ts';
 import { HEARTBEAT_TRANSIT_MS, MAX_HEARTBEAT_INTERVALS } from './lease-monitor.ts';
 import type { Machine } from './machine.ts';
 import type { MachineAssignments } from './machine-assignments.ts';
@@ -23,7 +24,10 @@
     private readonly assignments: MachineAssignments,
   ) {}
 
-  /** Forget and stop commands that the machine's state requires; each may be sent repeatedly. */
+  /**
+   * Forget and stop commands that the machine's state requires, as many as fit into one response; each may be
+   * sent repeatedly.
+   */
   commandsFor(machine: Machine): Command[] {
     const commands: Command[] = [];
     for (const exited of machine.exitedTasks.values()) {
@@ -33,7 +37,7 @@
     for (const orphan of machine.orphans)
       commands.push({ op: 'stop', task: orphan.task, attempt: orphan.attempt, graceS: 0 });
     for (const assignment of machine.assignments.values()) this.stopIfNeeded(machine, assignment, commands);
-    return commands;
+    return commandsForResponse(commands);
   }
 
   /** Starts queued tasks in order until the next one does not fit on the machine or may not start. */
--- a/test/message-sizes.test.ts
+++ b/test/message-sizes.test.ts
@@ -3,17 +3,22 @@
 import assert from 'node:assert/strict';
 import type { AddressInfo } from 'node:net';
 import { describe, it, type TestContext } from 'node:test';
-import type { JobSpec } from '../src/core/base/model.ts';
+import type { FakeWorker } from '../packages/local-cluster/src/fake-worker.ts';
+import type { Command, JobSpec } from '../src/core/base/model.ts';
+import { commandsForResponse } from '../src/core/machines/command-list.ts';
 import { type HttpServerOptions, serveHttp } from '../src/http/server.ts';
 import { InvalidMessageLog } from '../src/runtime/invalid-message-log.ts';
 import { PendingResponses } from '../src/runtime/pending-responses.ts';
 import { RequestRouter } from '../src/runtime/request-router.ts';
+import type { Attempt, JobId, TaskId, TeamName } from '../src/types/index.ts';
+import { CANCEL_MS } from './support/checked-world.ts';
 import {
   type LongestMessages,
   MAX_MESSAGE_BYTES,
   MAX_PEER_MESSAGE_BYTES,
   measureMessages,
 } from './support/message-lengths.ts';
+import { LIMITED_TEAM, LIMITED_TEAM_CPUS } from './support/simulated-settings.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
 
 /** Serves requests on a free port until the test ends; resolves with the URL of the server. */
@@ -172,3 +177,76 @@
     assertWithinLimits(world, longest);
   });
 });
+
+/** Tasks of the job `run-1` on a machine that an earlier version has given more than its heartbeats can list. */
+const OVERLOAD_TASKS = 3000;
+
+/** A world in which one machine runs that many tasks, with the lengths of its messages. */
+function createOverload(overrides: Partial<JobSpec> = {}): {
+  world: SimulatedWorld;
+  longest: LongestMessages;
+  machine: FakeWorker;
+} {
+  const { world, longest } = createWorld();
+  world.runS = 20;
+  world.cloud.capacity = 1;
+  // Its team is at its limit, so that this version starts no further task of it.
+  const team = LIMITED_TEAM as TeamName;
+  world.runSByJob.set('run-0', 600);
+  world.submit(job('run-0', { team, cpus: LIMITED_TEAM_CPUS }));
+  assert.ok(world.until(() => world.machinesRunning('run-0').length === 1));
+  const [machine] = world.workers.values();
+  world.submit(smallTasks('run-1', { team, tasks: OVERLOAD_TASKS, ...overrides }));
+  const commands = Array.from({ length: OVERLOAD_TASKS }, (_, index) => ({
+    op: 'start' as const,
+    task: `run-1/${index}` as TaskId,
+    attempt: 1 as Attempt,
+  }));
+  machine!.handleCommands(machine!.fencingToken, machine!.agentEpoch, commands, () => {});
+  assert.equal(machine!.activeTasks().length, OVERLOAD_TASKS + 1);
+  return { world, longest, machine: machine! };
+}
+
+describe('a machine with more tasks than its heartbeats should list', () => {
+  // Such a machine is left by a leader of an earlier version. The commands to it were one line of over 200 KB.
+  it('gets its commands in several responses, and all its tasks end in time when their job is cancelled', () => {
+    const { world, longest, machine } = createOverload({ kind: 'service', cpus: 0.001 });
+    world.run(2);
+    const confirmed = world.requestUntilAnswered({ op: 'cancel', id: 'run-1' as JobId });
+    assert.equal(confirmed?.kind, 'ended');
+    const confirmedAt = world.now;
+    assert.ok(world.until(() => machine.tasks.size <= 1, 40));
+    assert.ok(world.now - confirmedAt < CANCEL_MS);
+    assert.ok(
+      longest.heartbeatResponse <= MAX_MESSAGE_BYTES,
+      `response of ${longest.heartbeatResponse} bytes`,
+    );
+    assert.equal(tasksLostByLease(world), 0);
+  });
+
+  it('forgets its results in several responses, and then gets new tasks', () => {
+    const { world, longest } = createOverload();
+    world.submit(smallTasks('run-2'));
+    world.run(10);
+    assert.equal(world.machinesRunning('run-2').length, 0);
+    assert.ok(world.until(() => world.isDone('run-1') && world.isDone('run-2'), 90));
+    assert.ok(
+      longest.heartbeatResponse <= MAX_MESSAGE_BYTES,
+      `response of ${longest.heartbeatResponse} bytes`,
+    );
+    assert.equal(tasksLostByLease(world), 0);
+  });
+
+  // Tasks of cancelled jobs must be gone in time, however many results wait to be forgotten.
+  it('gets stop commands before others', () => {
+    const attempt = 1 as Attempt;
+    const forgets = Array.from({ length: 2000 }, (_, index): Command => {
+      return { op: 'forget', task: `run-1/${index}` as TaskId, attempt };
+    });
+    const stop: Command = { op: 'stop', task: 'run-2/0' as TaskId, attempt, graceS: 0 };
+    const sent = commandsForResponse([...forgets, stop]);
+    assert.deepEqual(sent.slice(0, 2), [stop, forgets[0]]);
+    assert.ok(sent.length < forgets.length);
+    assert.deepEqual(commandsForResponse([forgets[0]!, stop]), [forgets[0], stop]);
+  });
+});
