--- a/src/core/autoscaling/capacity-supply.ts
+++ b/src/core/autoscaling/capacity-supply.ts
@@ -1,10 +1,10 @@
 // Free capacity on machines that are up, booting or requested, by pool, while a capacity plan is built.
 import type { Instant, MachineId, ZoneName } from '../../types/index.ts';
-import { listedTaskBytes, MIN_LISTED_TASK_BYTES } from '../base/message-size.ts';
+import { MIN_LISTED_TASK_BYTES, TASK_LIST_BYTES } from '../base/message-size.ts';
 import type { JobSpec, MachineType } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import { needsAtLeast, placementKey } from '../jobs/placement-constraints.ts';
-import { type Capacity, capacityOfType, neededBy, tasksFitting } from '../jobs/task-capacity.ts';
+import { type Capacity, fitsCapacity, neededBy, tasksFitting } from '../jobs/task-capacity.ts';
 import type { Machine } from '../machines/machine.ts';
 import { type MachineOffer, offerKey } from './machine-offer.ts';
 
@@ -24,6 +24,12 @@
   readonly isSpare: boolean;
 }
 
+/** A search for capacity for a demand. */
+interface CapacitySearch extends CapacityDemand {
+  /** What each of the tasks takes. */
+  readonly needed: Capacity;
+}
+
 /** Tolerance for sums of fractional CPUs and GPUs. */
 const ROUNDING_TOLERANCE = 1e-9;
 /** Machines with less CPU capacity than this are ignored. */
@@ -36,7 +42,10 @@
   type: machine.type,
   zone: machine.zone,
   spot: machine.spot,
-  ...machine.unusedCapacity,
+  cpus: machine.type.cpus - machine.usedCpus,
+  gpus: machine.type.gpus - machine.usedGpus,
+  memoryGb: machine.type.memoryGb - machine.usedMemoryGb,
+  taskListBytes: machine.unusedTaskListBytes,
   machine,
 });
 
@@ -45,26 +54,29 @@
   type,
   zone,
   spot,
-  ...capacityOfType(type),
+  cpus: type.cpus,
+  gpus: type.gpus,
+  memoryGb: type.memoryGb,
+  taskListBytes: TASK_LIST_BYTES,
   machine: null,
 });
 
 /** Reserves capacity for up to `tasks` tasks; returns the number of tasks that fit. */
-export function placeOn(capacity: MachineCapacity, job: Job, tasks: number): number {
-  const placed = Math.min(tasks, slotsOf(capacity, job));
+export const placeOn = (capacity: MachineCapacity, { spec }: Job, tasks: number): number =>
+  place(capacity, neededBy(spec), tasks);
+
+function place(capacity: Capacity, needed: Capacity, tasks: number): number {
+  const placed = Math.min(tasks, tasksFitting(capacity, needed));
   if (placed <= 0) return 0;
-  capacity.cpus -= job.spec.cpus * placed;
-  capacity.gpus -= job.spec.gpus * placed;
-  capacity.memoryGb -= job.spec.memoryGb * placed;
-  capacity.taskListBytes -= listedTaskBytes(job.spec) * placed;
+  capacity.cpus -= needed.cpus * placed;
+  capacity.gpus -= needed.gpus * placed;
+  capacity.memoryGb -= needed.memoryGb * placed;
+  capacity.taskListBytes -= needed.taskListBytes * placed;
   return placed;
 }
 
-const slotsOf = (capacity: MachineCapacity, { spec }: Job): number =>
-  Math.max(0, tasksFitting(capacity, neededBy(spec)));
-
 /** Whether no task can use the capacity. */
-const isUsedUp = ({ cpus, taskListBytes }: MachineCapacity): boolean =>
+const isUsedUp = ({ cpus, taskListBytes }: Capacity): boolean =>
   cpus < MIN_USABLE_CPUS || taskListBytes < MIN_LISTED_TASK_BYTES;
 
 /**
@@ -134,12 +146,13 @@
   countPlaceable(demand: CapacityDemand): number {
     const { job, tasks } = demand;
     if (this.hasSearchFailed(demand)) return 0;
+    const needed = neededBy(job.spec);
     let found = 0;
     for (const pool of this.poolsFor(demand))
       for (const list of pool.listsFor(job))
         for (const capacity of list) {
           if (this.isAvoided(capacity, demand)) continue;
-          found += slotsOf(capacity, job);
+          found += Math.max(0, tasksFitting(capacity, needed));
           if (found >= tasks) return tasks;
         }
     return found;
@@ -153,10 +166,12 @@
   reserve(demand: CapacityDemand, neededMachines: Set<MachineId>): number {
     const { job, tasks } = demand;
     if (this.hasSearchFailed(demand)) return 0;
+    const needed = neededBy(job.spec);
     let remaining = tasks;
     for (const pool of this.poolsFor(demand))
       for (const list of pool.listsFor(job)) {
-        remaining -= this.reserveFromList(list, pool, { ...demand, tasks: remaining }, neededMachines);
+        const search = { ...demand, tasks: remaining, needed };
+        remaining -= this.reserveFromList(list, pool, search, neededMachines);
         if (remaining <= 0) return tasks;
       }
     // Other jobs may use the machines that this one avoids: the search has failed for this job only.
@@ -169,17 +184,17 @@
   private reserveFromList(
     list: MachineCapacity[],
     pool: PoolCapacity,
-    demand: CapacityDemand,
+    search: CapacitySearch,
     neededMachines: Set<MachineId>,
   ): number {
-    const { job, tasks } = demand;
+    const { job, tasks, needed } = search;
     let used = 0;
     for (let index = list.length - 1; index >= 0 && used < tasks; index--) {
       const capacity = list[index]!;
-      if (slotsOf(capacity, job) <= 0) continue;
+      if (!fitsCapacity(job.spec, capacity)) continue;
       if (capacity.machine !== null) neededMachines.add(capacity.machine.id);
-      if (this.isAvoided(capacity, demand)) continue;
-      used += placeOn(capacity, job, tasks - used);
+      if (this.isAvoided(capacity, search)) continue;
+      used += place(capacity, needed, tasks - used);
       // The machine moves to another list. The last element, which has been examined already, takes its place.
       const last = list.pop()!;
       if (last !== capacity) list[index] = last;
--- a/src/core/jobs/task-capacity.ts
+++ b/src/core/jobs/task-capacity.ts
@@ -32,6 +32,23 @@
   taskListBytes: listedTaskBytes(spec),
 });
 
+/** Whether one task of the job fits into the capacity. */
+export const fitsCapacity = (spec: JobSpec, { cpus, gpus, memoryGb, taskListBytes }: Capacity): boolean =>
+  fitsAmounts(spec, cpus, gpus, memoryGb, taskListBytes);
+
+/** The same without an object for the capacity, for searches that examine many machines. */
+export const fitsAmounts = (
+  spec: JobSpec,
+  cpus: number,
+  gpus: number,
+  memoryGb: number,
+  taskListBytes: number,
+): boolean =>
+  cpus + ROUNDING_TOLERANCE >= spec.cpus &&
+  gpus + ROUNDING_TOLERANCE >= spec.gpus &&
+  memoryGb + ROUNDING_TOLERANCE >= spec.memoryGb &&
+  taskListBytes >= listedTaskBytes(spec);
+
 /** Number of tasks that fit into the capacity if each takes `needed`; negative if the capacity is. */
 export const tasksFitting = (capacity: Capacity, needed: Capacity, tolerance = ROUNDING_TOLERANCE): number =>
   Math.min(
--- a/src/core/machines/capacity-checks.ts
+++ b/src/core/machines/capacity-checks.ts
@@ -1,15 +1,11 @@
 // Checks whether a task's demand fits the free capacity of a machine, and whether its job may use a zone.
 import type { ZoneName } from '../../types/index.ts';
 import { listedTaskBytes } from '../base/message-size.ts';
-import type { JobSpec } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
-import type { Capacity } from '../jobs/task-capacity.ts';
+import { type Capacity, fitsAmounts, fitsCapacity } from '../jobs/task-capacity.ts';
 import { maxTasksPerZone } from '../jobs/zone-constraints.ts';
 import type { QueuedTask } from './machine-tasks.ts';
 
-/** Rounding errors accumulate in sums of fractions; a demand that exceeds capacity by at most this fits. */
-const ROUNDING_TOLERANCE = 1e-9;
-
 /** The fields of a machine that the capacity checks read. */
 export interface MachineCapacity {
   /** Capacity that tasks on the machine do not use. */
@@ -23,23 +19,6 @@
   readonly queue: readonly QueuedTask[];
 }
 
-/** Whether one task of the job fits the given capacity. */
-export const fitsCapacity = (spec: JobSpec, { cpus, gpus, memoryGb, taskListBytes }: Capacity): boolean =>
-  fitsAmounts(spec, cpus, gpus, memoryGb, taskListBytes);
-
-/** The same without an object for the capacity: it is called for every machine that a search examines. */
-const fitsAmounts = (
-  spec: JobSpec,
-  cpus: number,
-  gpus: number,
-  memoryGb: number,
-  taskListBytes: number,
-): boolean =>
-  cpus + ROUNDING_TOLERANCE >= spec.cpus &&
-  gpus + ROUNDING_TOLERANCE >= spec.gpus &&
-  memoryGb + ROUNDING_TOLERANCE >= spec.memoryGb &&
-  taskListBytes >= listedTaskBytes(spec);
-
 /** Whether a task of the job fits beside the tasks on the machine and can start now; ignores the queue. */
 export const hasUnusedCapacity = (machine: MachineCapacity, job: Job): boolean =>
   fitsCapacity(job.spec, machine.unusedCapacity);
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -6,9 +6,9 @@
 import type { Heartbeat, JobSpec, MachineType, TaskStatus } from '../base/model.ts';
 import { diffTaskLists } from '../heartbeats/task-list-delta.ts';
 import type { TaskAssignment } from '../jobs/job.ts';
-import { type Capacity, capacityOfType } from '../jobs/task-capacity.ts';
+import { type Capacity, capacityOfType, fitsCapacity } from '../jobs/task-capacity.ts';
 import type { Resources } from '../teams/usage.ts';
-import { fitsCapacity, type MachineCapacity } from './capacity-checks.ts';
+import type { MachineCapacity } from './capacity-checks.ts';
 import { ExitedTasks } from './exited-tasks.ts';
 import type { OrphanTask, QueuedTask } from './machine-tasks.ts';
 
@@ -186,7 +186,8 @@
     return this.unusedTaskListBytes - this.queuedTaskListBytes;
   }
 
-  private get unusedTaskListBytes(): number {
+  /** Bytes of the machine's task list that tasks on the machine, exited or not, do not use. */
+  get unusedTaskListBytes(): number {
     return TASK_LIST_BYTES - this.assignedTaskListBytes - this.exitedTasks.listBytes;
   }
 
