Read the heartbeats of machines that list too many tasks

What callers would see: beside, or after, a leader of an earlier version, jobs of many small tasks are not done: the machine that it gave too many tasks has its heartbeats refused by controllers of this version too, and loses all tasks with its lease.

Cause: 64 KiB is a limit for senders; the server refused to read more, though the worker can't send less. Longer ones would next have met the limit of messages between controllers, where the receiver closes the connection.

Change: heartbeats are read up to 1 MiB, all other requests up to 64 KiB as before. A heartbeat that does not fit into a message between controllers is not passed on; its worker is redirected to the leader. The parser's limit of a body may now depend on the target; nothing else is changed in it.

Evidence: with the limit at 64 KiB the test's heartbeat of 3,000 tasks gets 413; without the check of what is passed on, 12,000 tasks make a message of 300,969 bytes.

--- a/src/core/controller/heartbeat-router.ts
+++ b/src/core/controller/heartbeat-router.ts
@@ -2,6 +2,7 @@
 // relayed to the leader, deferred until one is elected, or redirected to another controller.
 import { type FencingToken, type Instant, NEVER, type NodeId } from '../../types/index.ts';
 import type { ControllerIo } from '../base/io.ts';
+import { fitsPeerMessage } from '../base/message-size.ts';
 import type {
   ForwardedHeartbeat,
   ForwardedHeartbeatResponse,
@@ -116,6 +117,9 @@
     const leader = this.leadership.remoteLeader;
     const isConnected = leader !== null && this.peers.connectedPeers.has(leader.node);
     if (this.shouldDefer(leader, isConnected)) return this.forwarder.defer(heartbeat, respond, respondBy);
+    // A longer message would end the connection to the leader; the leader reads the heartbeat from its agent.
+    if (leader !== null && !fitsPeerMessage(heartbeat))
+      return respond({ kind: 'redirect', node: leader.node });
     if (isConnected && this.peers.forwardingPeers.has(leader.node) && this.forwarder.isUsable)
       return this.forwarder.forward(heartbeat, leader.node, respond, respondBy);
     this.relay.relay(heartbeat, leader, isConnected, respond);
--- a/src/http/parser.ts
+++ b/src/http/parser.ts
@@ -48,6 +48,9 @@
 
 type Role = 'request' | 'response';
 
+/** Maximum size of a body in bytes, of all messages or by the target of a request. */
+export type BodyLimit = number | ((target: string) => number);
+
 /** Parses the messages in one direction of a connection. */
 export class HttpParser {
   private buffer: Buffer = EMPTY_BUFFER;
@@ -59,10 +62,9 @@
   private chunkBytes = 0;
   private expectsContinue = false;
 
-  /** `maxBody`: maximum size of a body in bytes. */
   constructor(
     private readonly role: Role,
-    private readonly maxBody: number,
+    private readonly bodyLimit: BodyLimit,
   ) {}
 
   /**
@@ -165,6 +167,11 @@
     return message;
   }
 
+  /** Maximum size of the body that is being read. */
+  private get maxBodyBytes(): number {
+    return typeof this.bodyLimit === 'number' ? this.bodyLimit : this.bodyLimit(this.currentTarget ?? '');
+  }
+
   private readExpect(message: HttpMessage): void {
     const expect = message.headers.get('expect')?.toLowerCase();
     if (this.role !== 'request' || expect === undefined) return;
@@ -184,7 +191,7 @@
     if (length !== undefined) {
       if (!CONTENT_LENGTH.test(length)) throw new HttpParseError(400, 'bad length');
       this.bodyLength = Number(length);
-      if (this.bodyLength > this.maxBody) throw new HttpParseError(413, 'body too large');
+      if (this.bodyLength > this.maxBodyBytes) throw new HttpParseError(413, 'body too large');
       return;
     }
     const hasNoBody = this.role === 'request' || message.status === 204 || message.status === 304;
@@ -227,7 +234,7 @@
     const hex = line.split(';')[0]!.trim();
     if (!CHUNK_SIZE.test(hex)) throw new HttpParseError(400, 'bad chunk');
     const size = Number.parseInt(hex, 16);
-    if (this.chunkBytes + size > this.maxBody) throw new HttpParseError(413, 'body too large');
+    if (this.chunkBytes + size > this.maxBodyBytes) throw new HttpParseError(413, 'body too large');
     return size;
   }
 
--- a/src/http/server-connection.ts
+++ b/src/http/server-connection.ts
@@ -1,7 +1,7 @@
 // One connection of the HTTP server: reads requests, has them handled one at a time, enforces limits of time
 // and size.
 import type { Socket } from 'node:net';
-import { type HttpMessage, HttpParseError, HttpParser } from './parser.ts';
+import { type BodyLimit, type HttpMessage, HttpParseError, HttpParser } from './parser.ts';
 import { formatResponse, type ServerResponse } from './response.ts';
 import type { Urgency, WorkQueue } from './work-queue.ts';
 
@@ -24,8 +24,7 @@
 /** Limits of time and size; times in milliseconds. */
 export interface ServerLimits {
   maxConnections: number;
-  /** Maximum size of a request body in bytes. */
-  maxBody: number;
+  maxBody: BodyLimit;
   /** Time within which a request must be complete. */
   requestMs: number;
   /** Time after which a connection without a request is closed. */
--- a/src/protocol/peer-frames.ts
+++ b/src/protocol/peer-frames.ts
@@ -1,4 +1,5 @@
 // Framing of the messages between controllers: a 4-byte big-endian length, followed by one protobuf Envelope.
+import { MAX_PEER_MESSAGE_BYTES } from '../core/base/message-size.ts';
 import { SwiftfordError } from '../types/errors.ts';
 
 /** Another controller sent an invalid message; its connection must be closed. */
@@ -8,7 +9,6 @@
 
 /** Size of the length prefix of a frame. */
 export const LENGTH_PREFIX_BYTES = 4;
-const MAX_FRAME_BYTES = 256 * 1024;
 
 /**
  * First byte of a frame's body with a forwarded heartbeat: the tag of field 6 (`forwarded_heartbeat`), wire
@@ -32,9 +32,9 @@
     const bodies: Buffer[] = [];
     while (this.pending.length >= LENGTH_PREFIX_BYTES) {
       const size = this.pending.readUInt32BE(0);
-      if (size > MAX_FRAME_BYTES) {
+      if (size > MAX_PEER_MESSAGE_BYTES) {
         throw new InvalidPeerMessageError(
-          `frame of ${size} bytes exceeds the limit of ${MAX_FRAME_BYTES} bytes`,
+          `frame of ${size} bytes exceeds the limit of ${MAX_PEER_MESSAGE_BYTES} bytes`,
         );
       }
       const end = LENGTH_PREFIX_BYTES + size;
--- a/src/runtime/controller-process.ts
+++ b/src/runtime/controller-process.ts
@@ -16,10 +16,9 @@
 import { PendingResponses } from './pending-responses.ts';
 import { seededRandom } from './random.ts';
 import { classifyRequest } from './request-class.ts';
-import { RequestRouter } from './request-router.ts';
+import { maxBodyBytes, RequestRouter } from './request-router.ts';
 
 const TICK_INTERVAL_MS = 100;
-const MAX_BODY_BYTES = 64 * 1024;
 const REQUEST_TIMEOUT_MS = 10_000;
 const IDLE_TIMEOUT_MS = 60_000;
 
@@ -102,7 +101,7 @@
       ...splitAddress(addr),
       limits: {
         maxConnections: Math.max(MIN_CONNECTIONS, maxConnections),
-        maxBody: MAX_BODY_BYTES,
+        maxBody: maxBodyBytes,
         requestMs: REQUEST_TIMEOUT_MS,
         idleMs: IDLE_TIMEOUT_MS,
       },
--- a/src/runtime/request-router.ts
+++ b/src/runtime/request-router.ts
@@ -1,5 +1,6 @@
 // Routes HTTP requests of workers, users and operators to the core.
 import type { Input } from '../core/base/io.ts';
+import { MAX_HEARTBEAT_BYTES, MAX_MESSAGE_BYTES } from '../core/base/message-size.ts';
 import type { Heartbeat, UserRequest, UserResponse } from '../core/base/model.ts';
 import type { HttpMessage } from '../http/parser.ts';
 import type { RequestRefusal, Respond } from '../http/server.ts';
@@ -156,6 +157,10 @@
   }
 }
 
+/** Largest body of a request with this target, in bytes. */
+export const maxBodyBytes = (target: string): number =>
+  pathOf(target) === HEARTBEAT_PATH ? MAX_HEARTBEAT_BYTES : MAX_MESSAGE_BYTES;
+
 const pathOf = (target: string): string => target.split('?', 1)[0]!;
 
 /** Returns true if the request has this method; otherwise responds with 405 and returns false. */
