Pass on no more commands to a worker than a line holds

What callers would see: a worker that is connected to a controller of this version gets a line longer than 64 KiB from a leader of an earlier one, which does not bound its commands; dropped, none of them is carried out.

Cause: the controller passed the leader's answer on as it was.

Change: the controller that a worker is connected to leaves out what does not fit, stop commands last. The leader repeats it: stop and forget commands are derived from every heartbeat, and a task whose start was left out is missing in the next heartbeat and waits again, as after a response that was lost.

--- a/src/core/controller/heartbeat-router.ts
+++ b/src/core/controller/heartbeat-router.ts
@@ -13,6 +13,7 @@
 import type { HeartbeatForwarder } from '../heartbeats/heartbeat-forwarder.ts';
 import type { HeartbeatRelay } from '../heartbeats/heartbeat-relay.ts';
 import type { HeartbeatResponder } from '../leader/responders.ts';
+import { commandsForResponse } from '../machines/command-list.ts';
 import type { LeaderRecord } from '../membership/leader-election.ts';
 import type { PeerRegistry } from '../membership/peer-registry.ts';
 import type { Leadership } from './leadership.ts';
@@ -55,7 +56,7 @@
   onHeartbeat(heartbeat: Heartbeat, respond: HeartbeatResponder): void {
     const target = this.balancer.onHeartbeat(heartbeat.machine);
     if (target !== null) respond({ kind: 'redirect', node: target });
-    else this.route(heartbeat, respond);
+    else this.route(heartbeat, (response) => respond(withinLimit(response)));
   }
 
   /**
@@ -132,3 +133,13 @@
     return leader === null || this.forwarder.wasDisconnectedRecently(leader.node);
   }
 }
+
+/**
+ * The response with no more commands than fit into it: a leader of an earlier version does not bound them.
+ * Commands that are left out are repeated by the leader, as if the response had been lost.
+ */
+function withinLimit(response: HeartbeatResponse): HeartbeatResponse {
+  if (response.kind !== 'commands') return response;
+  const commands = commandsForResponse(response.commands);
+  return commands === response.commands ? response : { ...response, commands };
+}
--- a/test/message-sizes.test.ts
+++ b/test/message-sizes.test.ts
@@ -324,6 +324,32 @@
     assert.equal(tasksLostByLease(world), 0);
   });
 
+  // A leader of an earlier version does not bound them; a node of this version must not pass on a longer line.
+  it('gets no more commands than fit into a response from a leader of an earlier version either', () => {
+    const { world, longest } = createWorld();
+    const { transport } = world;
+    const unbounded = Array.from({ length: 2000 }, (_, index): Command => {
+      return { op: 'stop', task: `run-9/${index}` as TaskId, attempt: 1 as Attempt, graceS: 0 };
+    });
+    let passedOn = 0;
+    world.transport = {
+      ...transport,
+      peerMessage: (message) => {
+        if (message.kind !== 'forwarded-heartbeat-response' || message.response?.kind !== 'commands')
+          return transport.peerMessage(message);
+        passedOn++;
+        return { ...message, response: { ...message.response, commands: unbounded } };
+      },
+    };
+    world.submit(smallTasks('run-1', { tasks: 3, cpus: 8 }));
+    assert.ok(world.until(() => passedOn > 10, 60));
+    assert.ok(longest.heartbeatResponse > MAX_MESSAGE_BYTES / 2);
+    assert.ok(
+      longest.heartbeatResponse <= MAX_MESSAGE_BYTES,
+      `response of ${longest.heartbeatResponse} bytes`,
+    );
+  });
+
   it('forgets its results in several responses, and then gets new tasks', () => {
     const { world, longest } = createOverload();
     world.submit(smallTasks('run-2'));
