Bound every value by what a transaction of the store holds

What callers would see, where the settings allow values above 48 KiB (no known site does; all say 8): a record of machines or of a job that fills a transaction is refused by the state service for its length each time it is tried, so that the machines get no tasks; a large change of the configuration is sent and refused.

Cause: records were bounded by value_kb alone, batches by 48 KiB, a single write of a batch by neither; of a change each value was checked and not their sum.

Change: maxValueBytes, the smaller of value_kb and the 48 KiB of a transaction, is the bound of every record; the check of a change adds up its values.

--- a/src/core/configuration/change-transaction.ts
+++ b/src/core/configuration/change-transaction.ts
@@ -3,7 +3,7 @@
 import { SwiftfordError } from '../../types/errors.ts';
 import { NO_REVISION, type Revision } from '../../types/index.ts';
 import type { StoreCondition, StoreLimits, StorePut } from '../base/model.ts';
-import { jsonBytes } from '../storage/json-size.ts';
+import { jsonBytes, TRANSACTION_MAX_BYTES } from '../storage/json-size.ts';
 import { CONFIG_HEAD_KEY, CONFIG_NOTIFICATION_KEY, LEADER_KEY } from '../storage/keys.ts';
 import {
   type DocumentChange,
@@ -104,8 +104,13 @@
     throw new ChangeTooLargeError(
       `the change adds ${added} documents to the existing ${existing}; at most ${MAX_DOCUMENTS} are allowed`,
     );
-  const maxBytes = limits.maxValueKb * 1024;
   const sizes = [entry, ...changes.map((change) => change.after)].map(jsonBytes);
+  const totalSize = sizes.reduce((sum, size) => sum + size, 0);
+  if (totalSize > TRANSACTION_MAX_BYTES)
+    throw new ChangeTooLargeError(
+      `the change would be larger than ${TRANSACTION_MAX_BYTES / 1024} KiB; split it into several changes`,
+    );
+  const maxBytes = limits.maxValueKb * 1024;
   if (sizes.some((size) => size > maxBytes))
     throw new ChangeTooLargeError(
       `a record of the change would be larger than ${limits.maxValueKb} KiB; split it into several changes`,
--- a/src/core/storage/fenced-writer.ts
+++ b/src/core/storage/fenced-writer.ts
@@ -18,7 +18,7 @@
   WritePriority,
   type WriteResult,
 } from './fenced-write.ts';
-import { jsonBytes } from './json-size.ts';
+import { jsonBytes, maxValueBytes } from './json-size.ts';
 import { ReplyTimeout } from './reply-timeout.ts';
 import { batchSize, countChanges, insertByPriority } from './write-batch.ts';
 import { writeIdOf } from './write-id.ts';
@@ -53,7 +53,7 @@
 
   /** Largest size of a value, in bytes. */
   get maxValueBytes(): number {
-    return this.limits.maxValueKb * 1024;
+    return maxValueBytes(this.limits);
   }
 
   /** Number of writes that are queued or in flight. */
--- a/src/core/storage/job-record.ts
+++ b/src/core/storage/job-record.ts
@@ -4,7 +4,7 @@
 // module uses the field names of the stored form.
 import type { JobId, MachineTypeName, TeamName, WallTime, ZoneName } from '../../types/index.ts';
 import type { JobKind, JobSpec, Priority, StoreItem, StoreLimits, StorePut } from '../base/model.ts';
-import { jsonBytes, TRANSACTION_MAX_BYTES } from './json-size.ts';
+import { jsonBytes, maxValueBytes, TRANSACTION_MAX_BYTES } from './json-size.ts';
 import { DEPENDENCY_PART_PREFIX, OPEN_JOB_PREFIX } from './keys.ts';
 
 /** A job's specification as it is stored, and as controllers send it to each other. */
@@ -178,7 +178,7 @@
 
 /** The values to store for a new job; null if they do not fit into one transaction. */
 export function jobRecordPuts(record: JobRecord, limits: StoreLimits): StorePut[] | null {
-  const maxBytes = Math.floor(limits.maxValueKb * 1024) - RESERVED_BYTES;
+  const maxBytes = maxValueBytes(limits) - RESERVED_BYTES;
   const key = OPEN_JOB_PREFIX + record.spec.id;
   const value = encodeJobRecord(record);
   if (jsonBytes(value) <= maxBytes) return [{ key, value }];
--- a/test/message-sizes.test.ts
+++ b/test/message-sizes.test.ts
@@ -7,10 +7,27 @@
 import type { FakeWorker } from '../packages/local-cluster/src/fake-worker.ts';
 import type { Input } from '../src/core/base/io.ts';
 import { fitsPeerMessage } from '../src/core/base/message-size.ts';
-import type { Command, Heartbeat, JobSpec, TaskStatus } from '../src/core/base/model.ts';
+import type {
+  Command,
+  Heartbeat,
+  JobSpec,
+  Objective,
+  StoreLimits,
+  StoreRequest,
+  TaskStatus,
+} from '../src/core/base/model.ts';
+import {
+  ChangeTooLargeError,
+  changeTransaction,
+  planChanges,
+  type StoreTransaction,
+} from '../src/core/configuration/change.ts';
 import { commandsForResponse } from '../src/core/machines/command-list.ts';
+import { jobRecordPuts } from '../src/core/storage/job-record.ts';
+import { maxValueBytes } from '../src/core/storage/json-size.ts';
 import { type HttpServerOptions, serveHttp } from '../src/http/server.ts';
 import { encodePeerMessage } from '../src/protocol/peer.ts';
+import { encodeStoreRequest } from '../src/protocol/store.ts';
 import { encodeHeartbeat } from '../src/protocol/worker-agent.ts';
 import { InvalidMessageLog } from '../src/runtime/invalid-message-log.ts';
 import { PendingResponses } from '../src/runtime/pending-responses.ts';
@@ -21,8 +38,10 @@
   JobId,
   MachineId,
   MachineTypeName,
+  Revision,
   TaskId,
   TeamName,
+  WallTime,
   ZoneName,
 } from '../src/types/index.ts';
 import { UINT64_MAX } from '../src/types/uint64.ts';
@@ -376,3 +395,62 @@
     assert.deepEqual(commandsForResponse([forgets[0]!, stop]), [forgets[0], stop]);
   });
 });
+
+/** Limits of a store that takes values as long as a whole transaction; the known sites allow 8 KiB. */
+const LARGE_VALUES: StoreLimits = {
+  requestsPerS: 200,
+  writesPerS: 100,
+  maxValueKb: 64,
+  maxTransactionOps: 24,
+};
+
+describe('a transaction of the store', () => {
+  const store = LARGE_VALUES;
+
+  // The only value of a transaction could fill it, so that the store refused it for its length, for ever.
+  it('has room for the longest value beside its keys and conditions', () => {
+    const longest = 'x'.repeat(maxValueBytes(store) - 2);
+    const key = `o/${'x'.repeat(198)}`;
+    const conditions = Array.from({ length: 3 }, () => ({ key, revision: UINT64_MAX as Revision }));
+    const request: StoreRequest = {
+      kind: 'compare-and-swap',
+      conditions,
+      puts: [{ key, value: longest }],
+      deletes: [],
+    };
+    assert.ok(Buffer.byteLength(encodeStoreRequest(request).body!) <= MAX_MESSAGE_BYTES);
+    assert.equal(maxValueBytes({ ...store, maxValueKb: 8 }), 8 * 1024);
+  });
+
+  it('that accepts a job with a long list is short enough, or the job is refused', () => {
+    for (const count of [100, 3500, 4000, 4990]) {
+      const dependsOn = Array.from({ length: count }, (_, index) => `run-${100_000 + index}` as JobId);
+      const record = {
+        spec: job('run-1', { dependsOn }),
+        acceptedAt: 0 as WallTime,
+        cancelled: false,
+        writeId: '1.1',
+        dependencyParts: 0,
+      };
+      const puts = jobRecordPuts(record, store);
+      if (puts === null) continue;
+      const request: StoreRequest = { kind: 'compare-and-swap', conditions: [], puts, deletes: [] };
+      const { length } = encodeStoreRequest(request).body!;
+      assert.ok(length < MAX_MESSAGE_BYTES - 1024, `${count} jobs: ${length} bytes`);
+    }
+  });
+
+  it('that changes the configuration is short enough, or the change is refused', () => {
+    const changeWith = (count: number): StoreTransaction => {
+      const objectives = Array.from({ length: count }, (_, index): Objective => {
+        return { kind: 'wait', class: `class-${index}`, withinS: 100, share: 0.9, times: null };
+      });
+      const snapshot = { revision: 1 as Revision, head: null, documents: [] };
+      const changes = planChanges(snapshot, [{ kind: 'objectives', objectives }]);
+      return changeTransaction(snapshot, changes, 'id', 0, 1 as Revision, store);
+    };
+    const { length } = encodeStoreRequest({ kind: 'compare-and-swap', ...changeWith(250) }).body!;
+    assert.ok(length > MAX_MESSAGE_BYTES / 2 && length <= MAX_MESSAGE_BYTES, `${length} bytes`);
+    assert.throws(() => changeWith(500), ChangeTooLargeError);
+  });
+});
