Rent machines zone by zone for a gang that must be spread

What callers saw: a gang with `scatter` is accepted and, on a fleet without machines in a second zone, never runs.

Cause: the plan provided for gangs before it looked whether they must be spread; one machine with room for all tasks was enough for it, while placement needs two zones.

Change: such a gang is planned like other spread jobs.

The test fails on the code before.

--- a/src/core/autoscaling/capacity-plan.ts
+++ b/src/core/autoscaling/capacity-plan.ts
@@ -87,6 +87,7 @@
     const { job, tasks } = demand;
     if (tasks < job.waitingTasks + job.queuedTasks) return;
     if (job.spec.oneZone) this.provideInOneZone(demand, this.eligibleZones(job));
+    else if (isSpread(job.spec)) this.provideSpread(demand);
     else this.provide(demand);
   }
 
--- a/test/scheduling.test.ts
+++ b/test/scheduling.test.ts
@@ -23,6 +23,15 @@
     assert.deepEqual(world.violations, []);
   });
 
+  // One machine had room for the whole gang, so none was rented in a second zone, and the gang waited for ever.
+  it('rents machines in as many zones as a gang that must be spread needs', () => {
+    const world = new SimulatedWorld();
+    world.submit(job('run-1', { kind: 'gang', tasks: 2, cpus: 1, spread: true }));
+    assert.ok(world.until(() => world.isDone('run-1'), 60));
+    assert.equal(new Set([...world.workers.values()].map((worker) => worker.zone)).size, 2);
+    assert.deepEqual(world.violations, []);
+  });
+
   it('replaces a lost task of a waiting gang under the same attempt', () => {
     const world = new SimulatedWorld();
     world.runS = 30;
