--- a/src/core/machines/command-list.ts
+++ b/src/core/machines/command-list.ts
@@ -1,5 +1,5 @@
 // Bounds the commands in the response to a heartbeat. The commands to a machine whose task list is within its
-// bound always fit; a machine that lists more, because an earlier version started too much there, may need more commands.
+// bound always fit; a machine on which an earlier version has started too much may need more.
 import { COMMAND_LIST_BYTES, commandBytes } from '../base/message-size.ts';
 import type { Command } from '../base/model.ts';
 
@@ -9,11 +9,9 @@
  */
 export function commandsForResponse(commands: Command[]): Command[] {
   if (fittingCount(commands) === commands.length) return commands;
-  const isStop = (command: Command): boolean => command.op === 'stop';
-  const stopsFirst = [
-    ...commands.filter((command) => isStop(command)),
-    ...commands.filter((command) => !isStop(command)),
-  ];
+  const stops = commands.filter((command) => command.op === 'stop');
+  const others = commands.filter((command) => command.op !== 'stop');
+  const stopsFirst = [...stops, ...others];
   return stopsFirst.slice(0, fittingCount(stopsFirst));
 }
 
