--- a/src/core/machines/capacity-checks.ts
+++ b/src/core/machines/capacity-checks.ts
@@ -27,7 +27,7 @@
  * Whether a task of the job fits beside the tasks on the machine and the queued tasks that would start before
  * it, which are those of the same or a higher priority.
  */
-export function hasCapacityAhead(machine: MachineCapacity, job: Job): boolean {
+export function hasCapacityFor(machine: MachineCapacity, job: Job): boolean {
   let cpus = machine.freeCpus;
   let gpus = machine.freeGpus;
   let memoryGb = machine.freeMemoryGb;
--- a/src/core/machines/machine.ts
+++ b/src/core/machines/machine.ts
@@ -12,9 +12,6 @@
 import { ExitedTasks } from './exited-tasks.ts';
 import type { OrphanTask, QueuedTask } from './machine-tasks.ts';
 
-export { hasCapacityAhead, isZoneAllowed } from './capacity-checks.ts';
-export type { QueuedTask } from './machine-tasks.ts';
-
 /** The stored registry record that lists a machine; implemented in machine-registry.ts. */
 export interface RegistryRecordHandle {
   /** Removes a machine from the record; the stored value is rewritten later. */
--- a/src/core/scheduling/class-values.ts
+++ b/src/core/scheduling/class-values.ts
@@ -10,8 +10,8 @@
 import type { JobSpec, MachineType, Priority } from '../base/model.ts';
 import type { Job } from '../jobs/job.ts';
 import { type Capacity, capacityOfType, neededBy, tasksFitting } from '../jobs/task-capacity.ts';
+import { isZoneAllowed } from '../machines/capacity-checks.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
-import { isZoneAllowed } from '../machines/machine.ts';
 
 /** Where capacity is: on one machine, or on any of a pool, which has no id. */
 export interface CapacitySource {
--- a/src/core/scheduling/gang-scheduler.ts
+++ b/src/core/scheduling/gang-scheduler.ts
@@ -5,8 +5,9 @@
 import type { ControllerIo } from '../base/io.ts';
 import { type Job, TaskPhase } from '../jobs/job.ts';
 import { neededBy, tasksFitting } from '../jobs/task-capacity.ts';
+import { hasCapacityFor, isZoneAllowed } from '../machines/capacity-checks.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
-import { hasCapacityAhead, isZoneAllowed, type Machine, type MachinePool } from '../machines/machine.ts';
+import type { Machine, MachinePool } from '../machines/machine.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import { bucketMayFit } from './capacity-search.ts';
 import type { Reservations } from './reservations.ts';
@@ -105,7 +106,7 @@
     const added = new Set<Machine>();
     const addMachine = (machine: Machine): boolean => {
       if (added.has(machine) || job.failures.avoids(machine.id, this.io.now)) return false;
-      if (this.reservations.isReservedForOther(machine, job) || !hasCapacityAhead(machine, job)) return false;
+      if (this.reservations.isReservedForOther(machine, job) || !hasCapacityFor(machine, job)) return false;
       const score = this.binPacking.score(job, machine);
       if (!Number.isFinite(score)) return false;
       added.add(machine);
--- a/src/core/scheduling/queued-task-return.ts
+++ b/src/core/scheduling/queued-task-return.ts
@@ -4,9 +4,11 @@
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import { isGang } from '../jobs/placement-constraints.ts';
+import { hasCapacityFor } from '../machines/capacity-checks.ts';
 import { type CapacityIndex, sampleFrom } from '../machines/capacity-index.ts';
-import { hasCapacityAhead, type Machine, type QueuedTask } from '../machines/machine.ts';
+import type { Machine } from '../machines/machine.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
+import type { QueuedTask } from '../machines/machine-tasks.ts';
 import { bucketMayFit, MACHINES_SAMPLED_PER_BUCKET } from './capacity-search.ts';
 import type { Preemption } from './preemption.ts';
 import { placementKind, UnplaceableJobs } from './unplaceable-jobs.ts';
@@ -69,7 +71,7 @@
     const examine = (other: Machine): void => {
       this.machinesExamined++;
       if (other === machine || job.failures.avoids(other.id, this.io.now)) return;
-      found ||= hasCapacityAhead(other, job);
+      found ||= hasCapacityFor(other, job);
     };
     for (const pool of this.capacityIndex.pools.values()) {
       if (!pool.admits(job.spec)) continue;
--- a/src/core/scheduling/reservations.ts
+++ b/src/core/scheduling/reservations.ts
@@ -5,8 +5,9 @@
 import type { ControllerIo } from '../base/io.ts';
 import type { Job, TaskAssignment } from '../jobs/job.ts';
 import type { RuntimeEstimates } from '../jobs/job-ordering.ts';
+import { isZoneAllowed } from '../machines/capacity-checks.ts';
 import { type CapacityIndex, sampleFrom } from '../machines/capacity-index.ts';
-import { isZoneAllowed, type Machine, type MachinePool } from '../machines/machine.ts';
+import type { Machine, MachinePool } from '../machines/machine.ts';
 import type { MachineTable } from '../machines/machine-table.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import { FreedCapacity } from './freed-capacity.ts';
--- a/src/core/scheduling/task-placement.ts
+++ b/src/core/scheduling/task-placement.ts
@@ -4,8 +4,9 @@
 import type { Job } from '../jobs/job.ts';
 import { isGang } from '../jobs/placement-constraints.ts';
 import { isBoundToSameZone, isSpread } from '../jobs/zone-constraints.ts';
+import { hasCapacityFor, isZoneAllowed } from '../machines/capacity-checks.ts';
 import { type CapacityIndex, sampleFrom } from '../machines/capacity-index.ts';
-import { hasCapacityAhead, isZoneAllowed, type Machine, type MachinePool } from '../machines/machine.ts';
+import type { Machine, MachinePool } from '../machines/machine.ts';
 import type { Quota } from '../teams/quota.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import { bucketMayFit, MACHINES_SAMPLED_PER_BUCKET } from './capacity-search.ts';
@@ -139,7 +140,7 @@
 
   private isSuitable(machine: Machine, job: Job): boolean {
     return (
-      hasCapacityAhead(machine, job) &&
+      hasCapacityFor(machine, job) &&
       !this.reservations.isReservedForOther(machine, job) &&
       Number.isFinite(this.binPacking.score(job, machine))
     );
@@ -151,7 +152,7 @@
     const examine = (machine: Machine): void => {
       this.machinesExamined++;
       if (job.failures.avoids(machine.id, this.io.now)) return;
-      if (this.reservations.isReservedForOther(machine, job) || !hasCapacityAhead(machine, job)) return;
+      if (this.reservations.isReservedForOther(machine, job) || !hasCapacityFor(machine, job)) return;
       best.offer(machine, this.binPacking.score(job, machine));
     };
     const pools = this.samplePools(job, isZoneBound, examine);
@@ -213,7 +214,7 @@
       sampleFrom(pool.schedulableMachines, sampleSize, this.io.random, (machine) => {
         this.machinesExamined++;
         if (machine.queue.length >= this.threshold || job.failures.avoids(machine.id, this.io.now)) return;
-        if (this.reservations.isReservedForOther(machine, job) || hasCapacityAhead(machine, job)) return;
+        if (this.reservations.isReservedForOther(machine, job) || hasCapacityFor(machine, job)) return;
         // By preempting less urgent tasks the task starts sooner than by waiting for running tasks to end.
         const canPreempt = isUrgent && this.preemption.findVictims(machine, job) !== null;
         const penalty = this.binPacking.failurePenalty(job, machine);
--- a/src/core/scheduling/waiting-job-report.ts
+++ b/src/core/scheduling/waiting-job-report.ts
@@ -4,8 +4,9 @@
 import type { ControllerIo } from '../base/io.ts';
 import type { Job } from '../jobs/job.ts';
 import type { JobTable } from '../jobs/job-table.ts';
+import { hasCapacityFor } from '../machines/capacity-checks.ts';
 import type { CapacityIndex } from '../machines/capacity-index.ts';
-import { type CapacityBucket, hasCapacityAhead, type Machine } from '../machines/machine.ts';
+import type { CapacityBucket, Machine } from '../machines/machine.ts';
 import type { Quota } from '../teams/quota.ts';
 import type { BinPackingScorer } from './bin-packing.ts';
 import { bucketMayFit, MACHINES_SAMPLED_PER_BUCKET } from './capacity-search.ts';
@@ -92,7 +93,7 @@
     for (const machine of this.machinesToExamine(job)) {
       if (remaining-- <= 0) break;
       if (machine.isTaskListFull) counts.taskListFull++;
-      else if (hasCapacityAhead(machine, job)) this.countMachine(machine, job, counts);
+      else if (hasCapacityFor(machine, job)) this.countMachine(machine, job, counts);
     }
     return counts;
   }
--- a/test/exact-integers.test.ts
+++ b/test/exact-integers.test.ts
@@ -2,7 +2,6 @@
 // only: these tests guard against values that are refused, or rounded on their way through the program.
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import type { Input } from '../src/core/base/io.ts';
 import type { Command, Heartbeat, PeerMessage, StoreRequest } from '../src/core/base/model.ts';
 import type { HttpMessage } from '../src/http/parser.ts';
 import { decodeReply } from '../src/protocol/http-call.ts';
@@ -10,9 +9,7 @@
 import { decodeStoreReply, encodeStoreRequest } from '../src/protocol/store.ts';
 import type { HttpResponse } from '../src/protocol/user-response.ts';
 import { encodeCommands, encodeHeartbeatResponse } from '../src/protocol/worker.ts';
-import { InvalidMessageLog } from '../src/runtime/invalid-message-log.ts';
-import { PendingResponses } from '../src/runtime/pending-responses.ts';
-import { RequestRouter } from '../src/runtime/request-router.ts';
+import { createHandler } from './support/http-handler.ts';
 
 /** Integers around the limits of 53, 63 and 64 bits, and ones that numbers round in either direction. */
 const INTEGERS = [
@@ -44,17 +41,8 @@
 
 /** Sends a heartbeat with this body to a controller's HTTP handler. */
 function receiveHeartbeat(body: string): { heartbeat: Heartbeat | null; response: HttpResponse | null } {
-  const inputs: Input[] = [];
+  const { router, inputs } = createHandler();
   let response: HttpResponse | null = null;
-  const log = (): void => {};
-  const router = new RequestRouter({
-    controller: { ready: true, rejection: () => null, describe: () => ({}) },
-    responses: new PendingResponses(),
-    step: (input) => inputs.push(input),
-    processStatus: () => ({}),
-    log,
-    invalidMessages: new InvalidMessageLog(log),
-  });
   const request = { method: 'POST', target: '/checkin', body: Buffer.from(body) } as HttpMessage;
   router.handle(request, (answer) => {
     response = answer;
--- a/test/message-sizes.test.ts
+++ b/test/message-sizes.test.ts
@@ -5,7 +5,6 @@
 import { describe, it, type TestContext } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { FakeWorker } from '../packages/local-cluster/src/fake-worker.ts';
-import type { Input } from '../src/core/base/io.ts';
 import { fitsPeerMessage } from '../src/core/base/message-size.ts';
 import type {
   Command,
@@ -29,9 +28,7 @@
 import { encodePeerMessage } from '../src/protocol/peer.ts';
 import { encodeStoreRequest } from '../src/protocol/store.ts';
 import { encodeHeartbeat } from '../src/protocol/worker-agent.ts';
-import { InvalidMessageLog } from '../src/runtime/invalid-message-log.ts';
-import { PendingResponses } from '../src/runtime/pending-responses.ts';
-import { maxBodyBytes, RequestRouter } from '../src/runtime/request-router.ts';
+import { maxBodyBytes } from '../src/runtime/request-router.ts';
 import type {
   Attempt,
   FencingToken,
@@ -46,6 +43,7 @@
 } from '../src/types/index.ts';
 import { UINT64_MAX } from '../src/types/uint64.ts';
 import { CANCEL_MS } from './support/checked-world.ts';
+import { createHandler } from './support/http-handler.ts';
 import {
   type LongestMessages,
   MAX_MESSAGE_BYTES,
@@ -67,24 +65,6 @@
   return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** The router of a controller, with the lines that it logs. */
-function createRouter(): { router: RequestRouter; lines: unknown[]; inputs: Input[] } {
-  const lines: unknown[] = [];
-  const inputs: Input[] = [];
-  const log = (...line: unknown[]): void => {
-    lines.push(line);
-  };
-  const router = new RequestRouter({
-    controller: { ready: true, rejection: () => null, describe: () => ({}) },
-    responses: new PendingResponses(),
-    step: (input) => inputs.push(input),
-    processStatus: () => ({}),
-    log,
-    invalidMessages: new InvalidMessageLog(log),
-  });
-  return { router, lines, inputs };
-}
-
 /** A heartbeat with this many tasks. */
 const heartbeatWith = (tasks: number): Heartbeat => ({
   machine: 'i-1' as MachineId,
@@ -108,7 +88,7 @@
 describe('a request that is too long', () => {
   // Without the line, a worker whose heartbeats are refused looks like one that sends none.
   it('is refused and logged', async (t) => {
-    const { router, lines } = createRouter();
+    const { router, logLines } = createHandler();
     const url = await serve(t, {
       handler: (request, respond) => router.handle(request, respond),
       onRefused: (refusal) => router.onRefused(refusal),
@@ -117,12 +97,12 @@
     assert.equal(response.status, 413);
     await response.body?.cancel();
     const fields = { source: 'request', reason: '413 body too large', count: 1 };
-    assert.deepEqual(lines, [['info', 'invalid message', fields]]);
+    assert.deepEqual(logLines, [['info', 'invalid message', fields]]);
   });
 
   // A machine that lists too many tasks lost all of them with its lease, as each heartbeat was refused.
   it('is read if it is the heartbeat of a machine that lists too many tasks, up to 1 MiB', async (t) => {
-    const { router, inputs } = createRouter();
+    const { router, inputs } = createHandler();
     const url = await serve(t, { handler: (request, respond) => router.handle(request, respond) });
     const abort = new AbortController();
     t.after(() => abort.abort());
--- a/test/task-list-capacity.test.ts
+++ b/test/task-list-capacity.test.ts
@@ -13,11 +13,11 @@
   TASK_LIST_BYTES,
 } from '../src/core/base/message-size.ts';
 import type { Command, Heartbeat, JobSpec, TaskStatus } from '../src/core/base/model.ts';
-import { Job } from '../src/core/jobs/job.ts';
 import { canEverRun, needsAtLeast, tasksPerMachine } from '../src/core/jobs/placement-constraints.ts';
+import { hasCapacityFor } from '../src/core/machines/capacity-checks.ts';
 import { CapacityIndex } from '../src/core/machines/capacity-index.ts';
 import { ExitedTasks } from '../src/core/machines/exited-tasks.ts';
-import { hasCapacityAhead, MachinePool } from '../src/core/machines/machine.ts';
+import { MachinePool } from '../src/core/machines/machine.ts';
 import { BinPackingScorer } from '../src/core/scheduling/bin-packing.ts';
 import { bucketMayFit } from '../src/core/scheduling/capacity-search.ts';
 import { parseJob } from '../src/protocol/job.ts';
@@ -31,13 +31,12 @@
   JobId,
   MachineId,
   MachineTypeName,
-  Revision,
   TaskId,
-  WallTime,
   ZoneName,
 } from '../src/types/index.ts';
 import { UINT64_MAX } from '../src/types/uint64.ts';
 import { job, SimulatedWorld } from './support/simulated-world.ts';
+import { waitingJob } from './support/waiting-job.ts';
 
 const NORTH = 'north' as ZoneName;
 const LONGEST_ID = `run-${'x'.repeat(120)}` as JobId;
@@ -117,15 +116,6 @@
 /** Default queue threshold of the simulated world's controllers. */
 const THRESHOLD = 2;
 
-const waitingJob = (spec: JobSpec): Job =>
-  new Job({
-    spec,
-    revision: 1 as Revision,
-    acceptedAt: 0 as WallTime,
-    seenAt: 0 as Instant,
-    mayHaveUnlocatedTasks: false,
-  });
-
 const SMALL_JOBS: [string, Partial<JobSpec>][] = [
   ['with a short id', { id: 'run-1' as JobId }],
   ['with the longest id', { id: LONGEST_ID }],
@@ -182,7 +172,7 @@
     const { machines, capacityIndex } = world.nodes.get(world.leader!)!.leaderTerm!;
     const [machine] = machines.byId.values();
     assert.equal(machine!.queue.length, THRESHOLD);
-    assert.equal(hasCapacityAhead(machine!, machine!.queue[0]!.job), false);
+    assert.equal(hasCapacityFor(machine!, machine!.queue[0]!.job), false);
     for (const pool of capacityIndex.pools.values())
       for (const bucket of pool.buckets.values())
         assert.ok(bucket.members.length === 0 || !bucketMayFit(bucket, spec));
